Run a call that may not be repeated at most once under faults

Before its claim is granted, a refusal of such a call says 'may have run', since an earlier send may have run elsewhere.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -80,6 +80,10 @@
         ):
             yield from self.try_targets()
 
+    def reached(self) -> progress.Progress:
+        """Return what a refusal may truthfully say of the request."""
+        return self.running.state
+
     def slots(self) -> int:
         """Return this daemon's share of what the targets can take on."""
         running = [
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
@@ -13,6 +13,7 @@
 from chestnutshunt.attempts import attempt
 from chestnutshunt.attempts import identity
 from chestnutshunt.attempts import progress
+from chestnutshunt.config import service_settings
 from chestnutshunt import errors
 from chestnutshunt import steps
 from chestnutshunt_daemon import caller_parser
@@ -110,6 +111,26 @@
         service, path = caller_parser.split_path(environ)
         settings = self.held.current_tree().settings(f'services/{service}')
         environ['chestnutshunt.service'] = service
+        call = f'{environ["REQUEST_METHOD"]} {path.partition("?")[0]}'
+        try:
+            yield from self.checked_parts(environ, service, path, settings)
+        except errors.ChestnutshuntError as exc:
+            if exc.ran is None and identity.is_once(settings, call):
+                exc.ran = progress.Progress.MAY_HAVE_RUN
+            raise
+
+    def checked_parts(
+        self,
+        environ: dict[str, Any],
+        service: str,
+        path: str,
+        settings: service_settings.ServiceSettings,
+    ) -> Iterator[execution.Part]:
+        """Check key and request, then yield its answer.
+
+        A refusal of a call that may not be repeated does not know of earlier
+        sends, so that only an execution says of it that it was not run.
+        """
         given = self.held.keys.check(
             caller_parser.header_of(environ, 'Authorization'),
             service,
@@ -167,7 +188,7 @@
             yield running.wait_head(remaining)
             yield from running.follow(remaining)
         except errors.ChestnutshuntError as exc:
-            exc.ran = running.state
+            exc.ran = exc.ran or progress.Progress.MAY_HAVE_RUN
             raise
 
     def run(
@@ -183,12 +204,13 @@
         failure: errors.ChestnutshuntError | None = errors.OutcomeUnknown(
             'The answer was not finished.'
         )
+        chosen: execution.Execution | None = None
         try:
             chosen = self.make_execution(request, given, running, once)
             yield from publish(chosen.parts(), running)
             failure = None
         except errors.ChestnutshuntError as exc:
-            exc.ran = running.state
+            exc.ran = chosen.reached() if chosen else None
             failure = exc
             raise
         finally:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/once_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/once_execution.py
@@ -37,6 +37,16 @@
 
     claimed: bool = False
 
+    def reached(self) -> progress.Progress:
+        """Return what a refusal may truthfully say of the request.
+
+        Until the claim is granted, an earlier send of the same request may
+        have run at another daemon.
+        """
+        if self.claimed:
+            return self.running.state
+        return self.running.state.most(progress.Progress.MAY_HAVE_RUN)
+
     def try_targets(self) -> Iterator[execution.Part]:
         """Run the request here, or pass on the answer of its runner."""
         self.choose()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
@@ -6,10 +6,12 @@
 import grpc
 from returns import result
 
+from chestnutshunt.attempts import attempt
 from chestnutshunt import errors
 from chestnutshunt.mirror import mirror
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_codec
+from chestnutshunt_daemon import remote_answer
 from chestnutshunt_daemon.wire import peer_pb2
 from chestnutshunt_daemon.wire import peer_pb2_grpc
 
@@ -82,25 +84,37 @@
         if known is None:
             yield peer_pb2.AnswerPart(state=peer_pb2.AnswerPart.UNKNOWN)
             return
-        yield peer_pb2.AnswerPart(state=peer_pb2.AnswerPart.BODY)
-        try:
-            head = known.wait_head(request.timeout_s)
-            yield peer_pb2.AnswerPart(
-                state=peer_pb2.AnswerPart.HEAD,
-                status=head.status,
-                headers=[
-                    peer_pb2.Header(name=name, value=value)
-                    for name, value in head.headers
-                ],
-            )
-            for chunk in known.follow(request.timeout_s):
-                yield peer_pb2.AnswerPart(body=chunk)
-        except errors.ChestnutshuntError as exc:
-            yield peer_pb2.AnswerPart(
-                state=peer_pb2.AnswerPart.FAILED, failure=exc.message
-            )
-            return
-        yield peer_pb2.AnswerPart(state=peer_pb2.AnswerPart.WHOLE)
+        deadline = self.held.clock.monotonic() + request.timeout_s
+        yield peer_pb2.AnswerPart()
+        while not known.has_begun(remote_answer.BEAT):
+            if self.held.clock.monotonic() >= deadline:
+                break
+            yield peer_pb2.AnswerPart()
+        yield from answer_parts(known, request.timeout_s)
+
+
+def answer_parts(
+    known: attempt.Attempt, timeout: float
+) -> Iterator[peer_pb2.AnswerPart]:
+    """Yield the messages of an answer that has begun."""
+    try:
+        head = known.wait_head(0.0)
+        yield peer_pb2.AnswerPart(
+            state=peer_pb2.AnswerPart.HEAD,
+            status=head.status,
+            headers=[
+                peer_pb2.Header(name=name, value=value)
+                for name, value in head.headers
+            ],
+        )
+        for chunk in known.follow(timeout, remote_answer.BEAT):
+            yield peer_pb2.AnswerPart(body=chunk)
+    except errors.ChestnutshuntError as exc:
+        yield peer_pb2.AnswerPart(
+            state=peer_pb2.AnswerPart.FAILED, failure=exc.message
+        )
+        return
+    yield peer_pb2.AnswerPart(state=peer_pb2.AnswerPart.WHOLE)
 
 
 def is_acceptable(frame: peer_pb2.Frame) -> bool:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/remote_answer.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/remote_answer.py
@@ -1,6 +1,7 @@
 """The answer of a request that another daemon runs."""
 
 from collections.abc import Iterator
+import threading
 
 import grpc
 
@@ -12,6 +13,12 @@
 
 __all__ = ['never_sent', 'parts']
 
+BEAT = 0.5
+"""Seconds between the signs of life of an answer that is awaited."""
+
+SILENCE_LIMIT = 3.0
+"""Seconds without a sign of life after which the owner is given up."""
+
 ASK_TIMEOUT = 2.0
 """Seconds until a daemon that does not say anything is given up."""
 
@@ -47,7 +54,7 @@
     )
     call = peers.stub(held.address).Join(asked, timeout=max(timeout, 0.01))
     try:
-        for part in call:
+        for part in with_limit(call, SILENCE_LIMIT):
             if part.state == peer_pb2.AnswerPart.HEAD:
                 pairs = tuple((item.name, item.value) for item in part.headers)
                 yield answer_head.AnswerHead(part.status, pairs)
@@ -65,3 +72,25 @@
     finally:
         call.cancel()
     raise errors.OutcomeUnknown(f'{held.owner} broke off.')
+
+
+def with_limit(call: grpc.Future, limit: float) -> Iterator:
+    """Yield the messages of a call and cancel it when it falls silent."""
+    moved = threading.Event()
+    ended = threading.Event()
+
+    def watch() -> None:
+        while moved.wait(limit):
+            moved.clear()
+            if ended.is_set():
+                return
+        call.cancel()
+
+    threading.Thread(target=watch, name='silence', daemon=True).start()
+    try:
+        for message in call:
+            moved.set()
+            yield message
+    finally:
+        ended.set()
+        moved.set()
--- a/packages/chestnutshunt/chestnutshunt/attempts/attempt.py
+++ b/packages/chestnutshunt/chestnutshunt/attempts/attempt.py
@@ -91,6 +91,13 @@
             self.finished_at = now
             self.changed.notify_all()
 
+    def has_begun(self, timeout: float) -> bool:
+        """Wait for the head or the end; return False after `timeout` s."""
+        with self.changed:
+            return bool(
+                self.changed.wait_for(lambda: self.head or self.done, timeout)
+            )
+
     def wait_head(self, timeout: float) -> answer_head.AnswerHead:
         """Wait for the head of the answer as a joiner.
 
@@ -99,47 +106,60 @@
         ChestnutshuntError
             The execution failed, or its answer is too large to share.
         """
-        with self.changed:
-            self.readers += 1
-            self.changed.wait_for(lambda: self.head or self.done, timeout)
-            self.readers -= 1
-            if self.head is not None and not self.overflow:
-                return self.head
-            raise self.failure()
-
-    def follow(self, timeout: float) -> Iterator[bytes]:
+        self.has_begun(timeout)
+        if self.head is not None and not self.overflow:
+            return self.head
+        raise self.failure()
+
+    def follow(
+        self, timeout: float, beat: float | None = None
+    ) -> Iterator[bytes]:
         """Yield the body from its start, as it comes.
 
         Parameters
         ----------
         timeout : float
             Longest silence in seconds.
+        beat : float, optional
+            Seconds of silence after which an empty part is yielded, for a
+            reader that has to tell a silent answer from a lost connection.
         """
         position = 0
+        silent = 0.0
         while True:
-            with self.changed:
-                self.readers += 1
-                self.changed.wait_for(
-                    lambda at=position: (
-                        len(self.chunks) > at or self.done or self.overflow
-                    ),
-                    timeout,
-                )
-                self.readers -= 1
-                if self.overflow:
-                    raise self.failure()
-                ready = self.chunks[position:]
-                position += len(ready)
-                ended = self.done and position == len(self.chunks)
-                silent = not ready and not ended
+            pause = min(beat or timeout, timeout - silent)
+            ready, ended = self.wait_chunks(position, pause)
+            position += len(ready)
             yield from ready
             if ended:
                 break
-            if silent:
+            silent = 0.0 if ready else silent + pause
+            if silent >= timeout:
                 raise errors.Truncated('The joined answer fell silent.')
+            if not ready:
+                yield b''
         if self.error is not None:
             raise self.error
 
+    def wait_chunks(
+        self, position: int, timeout: float
+    ) -> tuple[list[bytes], bool]:
+        """Return new parts of the body, and whether they are the last."""
+        with self.changed:
+            self.readers += 1
+            self.changed.wait_for(
+                lambda: (
+                    len(self.chunks) > position or self.done or self.overflow
+                ),
+                timeout,
+            )
+            self.readers -= 1
+            if self.overflow:
+                raise self.failure()
+            ready = self.chunks[position:]
+            ended = self.done and position + len(ready) == len(self.chunks)
+            return ready, ended
+
     def failure(self) -> errors.ChestnutshuntError:
         """Return the error a joiner gets when there is no answer to share."""
         if self.error is not None:
