--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_link.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_link.py
@@ -7,6 +7,7 @@
 
 import grpc
 
+from chestnutshunt_daemon import call_limit
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_service
 from chestnutshunt_daemon.wire import peer_pb2
@@ -18,7 +19,10 @@
 STREAM_LIFETIME = 60.0
 """Seconds until a stream is made again, which also ends a silent one."""
 
-RETRY_DELAY = 0.5
+REPLY_LIMIT = 1.5
+"""Seconds a reply may take before the connection counts as silent."""
+
+RETRY_DELAY = 0.3
 
 
 class PeerLink:
@@ -65,17 +69,23 @@
         outgoing: queue.SimpleQueue = queue.SimpleQueue()
         stub = self.held.peers.stub(self.address)
         replies = stub.Exchange(frames(outgoing), timeout=STREAM_LIFETIME)
+        limit = self.held.config.heartbeat_s + REPLY_LIMIT
+        limited = call_limit.with_limit(replies, limit)
         try:
             while not self.closed.is_set():
                 outgoing.put(peer_service.make_frame(self.held))
                 self.held.metrics.heartbeats.labels('sent').inc()
-                peer_service.take_frame(self.held, next(replies))
+                reply = next(limited, None)
+                if reply is None:
+                    return
+                peer_service.take_frame(self.held, reply)
                 self.wake.wait(self.held.config.heartbeat_s)
                 self.wake.clear()
             outgoing.put(peer_service.make_frame(self.held))
         finally:
             outgoing.put(None)
             replies.cancel()
+            limited.close()
 
 
 def frames(outgoing: queue.SimpleQueue) -> Iterator[peer_pb2.Frame]:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
@@ -13,8 +13,8 @@
 RELAYS = 2
 """Daemons of a data centre that watch; the others hear from them."""
 
-WATCH_TIMEOUT = 10.0
-"""Seconds a watch lasts."""
+WATCH_TIMEOUT = 2.0
+"""Seconds a watch lasts; a silent one is noticed soon after."""
 
 LIST_PERIOD = 60.0
 """Seconds between the lists by which each daemon checks its mirror."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/remote_answer.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/remote_answer.py
@@ -1,13 +1,13 @@
 """The answer of a request that another daemon runs."""
 
 from collections.abc import Iterator
-import threading
 
 import grpc
 
 from chestnutshunt.attempts import answer_head
 from chestnutshunt import errors
 from chestnutshunt.ledger import entry
+from chestnutshunt_daemon import call_limit
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.wire import peer_pb2
 
@@ -54,7 +54,7 @@
     )
     call = peers.stub(held.address).Join(asked, timeout=max(timeout, 0.01))
     try:
-        for part in with_limit(call, SILENCE_LIMIT):
+        for part in call_limit.with_limit(call, SILENCE_LIMIT):
             if part.state == peer_pb2.AnswerPart.HEAD:
                 pairs = tuple((item.name, item.value) for item in part.headers)
                 yield answer_head.AnswerHead(part.status, pairs)
@@ -72,25 +72,3 @@
     finally:
         call.cancel()
     raise errors.OutcomeUnknown(f'{held.owner} broke off.')
-
-
-def with_limit(call: grpc.Future, limit: float) -> Iterator:
-    """Yield the messages of a call and cancel it when it falls silent."""
-    moved = threading.Event()
-    ended = threading.Event()
-
-    def watch() -> None:
-        while moved.wait(limit):
-            moved.clear()
-            if ended.is_set():
-                return
-        call.cancel()
-
-    threading.Thread(target=watch, name='silence', daemon=True).start()
-    try:
-        for message in call:
-            moved.set()
-            yield message
-    finally:
-        ended.set()
-        moved.set()
--- a/packages/chestnutshunt/chestnutshunt/config/run_settings.py
+++ b/packages/chestnutshunt/chestnutshunt/config/run_settings.py
@@ -27,6 +27,9 @@
     concurrency: int = field.setting(
         16, 'samples made at one time', '', 1, 1024
     )
+    call_path: str = field.setting(
+        '/v1/generate', 'path of the call that makes a sample'
+    )
     prompts: tuple[str, ...] = field.setting(
         ('Begin.',), 'prompts that the groups take in turn'
     )
--- a/packages/chestnutshunt/chestnutshunt/platform/http_client.py
+++ b/packages/chestnutshunt/chestnutshunt/platform/http_client.py
@@ -18,6 +18,9 @@
 CALL_TIMEOUT = 3.0
 """Seconds a call may take; a silent connection is given up after it."""
 
+WATCH_GRACE = 1.0
+"""Seconds a watch may take longer than it was asked to."""
+
 POOL_SIZE = 8
 
 
@@ -83,7 +86,7 @@
             {'kinds': ','.join(kinds), 'after': after, 'timeout': timeout}
         )
         answer = self.call(
-            'GET', f'/watch?{query}', timeout=timeout + CALL_TIMEOUT
+            'GET', f'/watch?{query}', timeout=timeout + WATCH_GRACE
         )
         return answer.map(decode_listing)
 
