--- a/packages/chestnutshunt/chestnutshunt/lease/lease.py
+++ b/packages/chestnutshunt/chestnutshunt/lease/lease.py
@@ -42,6 +42,9 @@
     ----------
     fence : int
         Fencing number of the current tenure; later tenures have higher ones.
+    cut_off_at : float
+        Monotonic time in seconds of the last failed call since the tenure
+        was last confirmed; 0.0 if the platform has answered since.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self.version = client.ABSENT
         self.valid_until = 0.0
         self.renewals = 0
+        self.cut_off_at = 0.0
         self.seen_version = client.ABSENT
         self.seen_since = 0.0
         self.lock = threading.RLock()
@@ -71,6 +75,16 @@
         """True while this process may act on the duty."""
         return self.source.monotonic() < self.valid_until
 
+    @property
+    def orphaned(self) -> bool:
+        """True if a tenure lapsed while the platform could not be reached.
+
+        Nobody is known to have taken the lease. That is enough only for work
+        that a second process may do as well.
+        """
+        lapsed = self.fence and not self.held
+        return bool(lapsed and self.cut_off_at >= self.valid_until)
+
     def require(self) -> int:
         """Return the fencing number, or raise `NotHolder`."""
         if not self.held:
@@ -99,8 +113,11 @@
             case result.Success(stored):
                 self.version = stored.version
                 self.valid_until = self.end_of(began)
+                self.cut_off_at = 0.0
             case result.Failure(errors.Conflict()):
-                self.valid_until = 0.0
+                self.forfeit()
+            case _:
+                self.cut_off_at = self.source.monotonic()
 
     def try_acquire(self) -> None:
         """Take the lease if it is free or its holder has fallen silent."""
@@ -109,7 +126,10 @@
             case result.Success(found):
                 pass
             case _:
+                self.cut_off_at = self.source.monotonic()
                 return
+        if found is None or found.version != self.version:
+            self.forfeit()
         if found is not None and not self.is_free(found, began):
             return
         began = self.source.monotonic()
@@ -118,12 +138,21 @@
             case result.Success(stored):
                 self.version = stored.version
                 self.fence = stored.version
+                self.cut_off_at = 0.0
                 self.valid_until = self.end_of(began)
 
+    def forfeit(self) -> None:
+        """Note that the tenure is over for good."""
+        self.valid_until = 0.0
+        self.cut_off_at = 0.0
+        self.fence = 0
+
     def is_free(self, found: stored_object.StoredObject, now: float) -> bool:
         """Tell whether the record was released or has expired."""
         if not found.value.get('holder'):
             return True
+        if found.value.get('incarnation') == self.incarnation:
+            return True
         if found.version != self.seen_version:
             self.seen_version = found.version
             self.seen_since = now
@@ -136,7 +165,7 @@
         with self.lock:
             if not self.held:
                 return
-            self.valid_until = 0.0
+            self.forfeit()
             value = {'holder': '', 'nonce': secrets.token_hex(6)}
             self.platform.put(LEASE_KIND, self.name, value, self.version)
 
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Samples, steps and their hand-over to trainers."""
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/rollout/batch.py
@@ -0,0 +1,62 @@
+"""The samples of a step, as they are handed over."""
+
+import hashlib
+
+import attrs
+
+from chestnutshunt.rollout import sample
+
+__all__ = ['Batch', 'digest_of']
+
+
+@attrs.frozen
+class Batch:
+    """A step's samples, ordered by their ids.
+
+    Attributes
+    ----------
+    run : str
+        Training run.
+    step : int
+        Step number.
+    samples : tuple of Sample
+        All samples of the step.
+    """
+
+    run: str
+    step: int
+    samples: tuple[sample.Sample, ...]
+
+    @classmethod
+    def of(cls, run: str, step: int, samples: list[sample.Sample]) -> 'Batch':
+        """Build a batch, ordering its samples."""
+        ordered = sorted(samples, key=lambda item: item.id)
+        return cls(run, step, tuple(ordered))
+
+    @property
+    def oldest_version(self) -> int:
+        """Oldest version that made any token of the step."""
+        return min(item.oldest_version for item in self.samples)
+
+    def stale(self, current: int, bound: int) -> list[sample.Sample]:
+        """Return the samples that lag more than `bound` versions."""
+        return [
+            item
+            for item in self.samples
+            if current - item.oldest_version > bound
+        ]
+
+    def encode(self) -> bytes:
+        """Return the samples as JSON lines."""
+        return b''.join(item.encode() for item in self.samples)
+
+    @classmethod
+    def decode(cls, run: str, step: int, data: bytes) -> 'Batch':
+        """Build a batch from JSON lines."""
+        samples = [sample.Sample.decode(x) for x in data.splitlines()]
+        return cls(run, step, tuple(samples))
+
+
+def digest_of(data: bytes) -> str:
+    """Return the digest by which a step's bytes are stored."""
+    return hashlib.blake2b(data, digest_size=20).hexdigest()
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/rollout/sample.py
@@ -0,0 +1,69 @@
+"""A whole sample."""
+
+import json
+
+import attrs
+
+from chestnutshunt.rollout import sample_id
+from chestnutshunt.rollout import version_range
+
+__all__ = ['Sample']
+
+
+@attrs.frozen
+class Sample:
+    """Tokens of a sample and the versions that made them.
+
+    Attributes
+    ----------
+    id : SampleId
+        Place in the run.
+    prompt : str
+        What the tokens continue.
+    tokens : tuple of str, shape (n,)
+        The tokens, in order.
+    versions : tuple of VersionRange
+        Ranges that cover all tokens.
+    """
+
+    id: sample_id.SampleId
+    prompt: str
+    tokens: tuple[str, ...]
+    versions: tuple[version_range.VersionRange, ...]
+
+    @property
+    def oldest_version(self) -> int:
+        """Oldest version that made any of the tokens."""
+        return min(item.version for item in self.versions)
+
+    def encode(self) -> bytes:
+        """Return the sample as a JSON line."""
+        fields = {
+            **attrs.asdict(self.id),
+            'prompt': self.prompt,
+            'tokens': list(self.tokens),
+            'versions': [
+                [item.version, item.first, item.count]
+                for item in self.versions
+            ],
+        }
+        return json.dumps(fields).encode() + b'\n'
+
+    @classmethod
+    def decode(cls, line: bytes) -> 'Sample':
+        """Build a sample from its JSON line."""
+        fields = json.loads(line)
+        return cls(
+            id=sample_id.SampleId(
+                fields['run'],
+                fields['step'],
+                fields['group'],
+                fields['index'],
+            ),
+            prompt=fields['prompt'],
+            tokens=tuple(fields['tokens']),
+            versions=tuple(
+                version_range.VersionRange(*item)
+                for item in fields['versions']
+            ),
+        )
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/rollout/sample_id.py
@@ -0,0 +1,32 @@
+"""Identity of a sample, fixed before it is made."""
+
+import hashlib
+
+import attrs
+
+__all__ = ['SampleId']
+
+
+@attrs.frozen(order=True)
+class SampleId:
+    """Place of a sample in its run.
+
+    Attributes
+    ----------
+    run : str
+        Training run.
+    step, group, index : int
+        Step, group in the step, and place in the group.
+    """
+
+    run: str
+    step: int
+    group: int
+    index: int
+
+    @property
+    def seed(self) -> int:
+        """Seed of the sample, equal for every copy that is made."""
+        text = f'{self.run}\0{self.step}\0{self.group}\0{self.index}'
+        digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
+        return int.from_bytes(digest, 'big')
