--- /dev/null
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/coordinator.py
@@ -0,0 +1,316 @@
+"""Coordinates one training run while its lease is held.
+
+A trainer pulls steps by number. That it asks for a step shows that it has not
+received that step, which is what two coordinators can agree on without the
+platform. The manifest of a step, made once on the platform before the step is
+handed over, lets a successor hand over the same bytes.
+"""
+
+import logging
+import threading
+
+import attrs
+from returns import result
+
+from chestnutshunt.config import run_settings
+from chestnutshunt import errors
+from chestnutshunt.lease import lease
+from chestnutshunt.platform import client
+from chestnutshunt.rollout import batch
+from chestnutshunt.rollout import manifest
+from chestnutshunt import steps
+from chestnutshunt_daemon import bulk
+from chestnutshunt_daemon import node
+from chestnutshunt_daemon import step_maker
+from chestnutshunt_daemon import weight_loader
+
+__all__ = ['Coordinator']
+
+LOG = logging.getLogger(__name__)
+
+IDLE_PERIOD = 0.5
+KEPT_STEPS = 2
+"""Steps kept after the trainer has asked for the next."""
+
+
+@attrs.define(eq=False)
+class Made:
+    """A step that can be handed over.
+
+    Attributes
+    ----------
+    content : Batch
+        Its samples.
+    data : bytes
+        The bytes that a trainer is given.
+    version : int
+        Platform version of the manifest, 0 if it could not be written.
+    """
+
+    content: batch.Batch
+    data: bytes = attrs.field(repr=False)
+    version: int = client.ABSENT
+
+
+class Coordinator:
+    """Makes and hands over the steps of a run.
+
+    Parameters
+    ----------
+    held : Node
+        The daemon.
+    run : str
+        Training run.
+    charge : Lease
+        Lease of the run.
+    """
+
+    def __init__(self, held: node.Node, run: str, charge: lease.Lease) -> None:
+        self.held = held
+        self.run = run
+        self.charge = charge
+        self.made: dict[int, Made] = {}
+        self.discarded: dict[int, Made] = {}
+        self.cursor: int | None = None
+        self.stated_version = 0
+        self.changed = threading.Condition()
+        self.stopped = threading.Event()
+        self.loader = weight_loader.WeightLoader(
+            held, self.settings().service, charge
+        )
+        self.threads = [
+            threading.Thread(target=target, name=f'{name}-{run}', daemon=True)
+            for name, target in (
+                ('run', self.work),
+                ('weights', self.load_weights),
+            )
+        ]
+
+    def start(self) -> None:
+        """Start the threads of the run."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End the work; nothing is handed over from now on."""
+        self.stopped.set()
+        with self.changed:
+            self.changed.notify_all()
+        self.loader.changed.set()
+
+    def settings(self) -> run_settings.RunSettings:
+        """Return the run's settings in force."""
+        return self.held.current_tree().settings(f'runs/{self.run}')
+
+    def version(self) -> int:
+        """Return the trainer's newest weight version that is known."""
+        held = self.held.mirror.get('weights', self.run)
+        listed = int(held.value.get('version', 0)) if held else 0
+        return max(listed, self.stated_version)
+
+    def may_hand_over(self, cut_off: bool) -> bool:
+        """Tell whether this process may act for the run."""
+        if self.stopped.is_set():
+            return False
+        return self.charge.held or (cut_off and self.charge.orphaned)
+
+    def hand_over(
+        self, step: int, version: int, cut_off: bool, timeout: float
+    ) -> bytes | None:
+        """Return the bytes of a step, or ``None`` if it is not ready.
+
+        Parameters
+        ----------
+        step : int
+            Step the trainer asks for, which it has therefore not received.
+        version : int
+            The trainer's weight version, 0 if unknown.
+        cut_off : bool
+            Whether to answer if only cut off from the platform.
+        timeout : float
+            Seconds to wait.
+
+        Raises
+        ------
+        NotHolder
+            Another daemon may coordinate the run.
+        """
+        with self.changed:
+            self.stated_version = max(self.stated_version, version)
+            self.cursor = max(self.cursor or 0, step)
+            self.loader.want(self.version())
+            self.changed.notify_all()
+            self.changed.wait_for(
+                lambda: step in self.made or self.stopped.is_set(), timeout
+            )
+            ready = self.made.get(step)
+        steps.reach('run.before_hand_over')
+        if not self.may_hand_over(cut_off):
+            raise errors.NotHolder(f'{self.run} is not coordinated here.')
+        if ready is None:
+            return None
+        if self.stale(ready.content):
+            self.discard(step, ready)
+            return None
+        return ready.data
+
+    def stale(self, content: batch.Batch) -> bool:
+        """Tell whether a step is too old to be handed over."""
+        return bool(content.older_than(self.oldest_version()))
+
+    def discard(self, step: int, ready: Made) -> None:
+        """Have the samples of a step that are too old made again."""
+        LOG.info('Step %s of %s is too old', step, self.run)
+        with self.changed:
+            if self.made.get(step) is ready:
+                del self.made[step]
+                self.discarded[step] = ready
+                self.changed.notify_all()
+
+    def work(self) -> None:
+        """Make the steps that are asked for, and some ahead."""
+        while not self.stopped.is_set():
+            try:
+                step = self.next_step()
+                if step is not None:
+                    self.provide(step)
+                    continue
+            except errors.ChestnutshuntError as exc:
+                LOG.warning('Run %s: %s', self.run, exc)
+            with self.changed:
+                self.changed.wait(IDLE_PERIOD)
+
+    def load_weights(self) -> None:
+        """Keep the engines at the newest version."""
+        self.held.mirror.listeners.append(self.mirror_changed)
+        self.loader.want(self.version())
+        try:
+            self.loader.run(self.stopped)
+        finally:
+            self.held.mirror.listeners.remove(self.mirror_changed)
+
+    def mirror_changed(self, changes: object) -> None:
+        """Take over a newer weight version."""
+        self.loader.want(self.version())
+
+    def next_step(self) -> int | None:
+        """Return the first step to be made, ``None`` if there is none."""
+        with self.changed:
+            if self.cursor is None:
+                return None
+            self.forget_old(self.cursor)
+            ahead = self.settings().steps_ahead
+            for step in range(self.cursor, self.cursor + ahead + 1):
+                if step not in self.made:
+                    return step
+        return None
+
+    def forget_old(self, cursor: int) -> None:
+        """Drop steps that the trainer has gone past."""
+        for step in [x for x in self.made if x < cursor - KEPT_STEPS]:
+            old = self.made.pop(step)
+            self.held.bulk.drop(batch.digest_of(old.data))
+            if old.version:
+                self.held.platform.delete(
+                    manifest.STEP_KIND,
+                    manifest.manifest_name(self.run, step),
+                    old.version,
+                )
+        for step in [x for x in self.discarded if x < cursor]:
+            del self.discarded[step]
+
+    def provide(self, step: int) -> None:
+        """Take a step over from its manifest, or make it."""
+        ready = self.recover(step)
+        if ready is None:
+            ready = self.make(step)
+        if ready is None:
+            return
+        with self.changed:
+            self.made[step] = ready
+            self.changed.notify_all()
+
+    def recover(self, step: int) -> Made | None:
+        """Return a step whose manifest and bytes a predecessor left."""
+        if step in self.discarded:
+            return None
+        name = manifest.manifest_name(self.run, step)
+        match self.held.platform.get(manifest.STEP_KIND, name):
+            case result.Success(found) if found is not None:
+                pass
+            case _:
+                return None
+        agreed = manifest.Manifest.decode(found.value)
+        data = bulk.fetch(self.held, agreed)
+        if data is None:
+            LOG.warning('The bytes of step %s are lost', step)
+            lost = Made(batch.Batch(self.run, step, ()), b'', found.version)
+            self.discarded[step] = lost
+            return None
+        content = batch.Batch.decode(self.run, step, data)
+        return Made(content, data, found.version)
+
+    def make(self, step: int) -> Made | None:
+        """Make a step, keep its bytes twice and agree on it."""
+        old = self.discarded.get(step)
+        oldest = self.oldest_version()
+        kept = {
+            item.id: item
+            for item in (old.content.samples if old else ())
+            if item.oldest_version >= oldest
+        }
+        steps.reach('run.before_samples')
+        made = step_maker.StepMaker(
+            self.held,
+            self.run,
+            step,
+            self.settings(),
+            kept,
+            self.loader,
+            self.oldest_version,
+            self.stopped,
+        ).make()
+        if made is None:
+            return None
+        steps.reach('run.after_samples')
+        data = made.encode()
+        holders = bulk.keep_twice(self.held, data)
+        steps.reach('run.after_copies')
+        expected = old.version if old else client.ABSENT
+        ready = self.agree(step, made, data, holders, expected)
+        steps.reach('run.after_manifest')
+        self.discarded.pop(step, None)
+        return ready
+
+    def agree(
+        self,
+        step: int,
+        made: batch.Batch,
+        data: bytes,
+        holders: tuple[str, ...],
+        expected: int,
+    ) -> Made:
+        """Write the manifest; another's manifest outweighs this one."""
+        entry = manifest.Manifest(
+            batch.digest_of(data), len(data), holders, self.charge.fence
+        )
+        name = manifest.manifest_name(self.run, step)
+        written = client.put_settled(
+            self.held.platform,
+            manifest.STEP_KIND,
+            name,
+            entry.encode(),
+            expected,
+        )
+        match written:
+            case result.Success(stored):
+                return Made(made, data, stored.version)
+            case result.Failure(errors.Conflict()):
+                other = self.recover(step)
+                if other is not None and not self.stale(other.content):
+                    return other
+        return Made(made, data)
+
+    def oldest_version(self) -> int:
+        """Return the oldest version that may be handed over now."""
+        return self.version() - self.settings().staleness_bound
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -11,6 +11,7 @@
 from chestnutshunt.platform import http_client
 from chestnutshunt import steps
 from chestnutshunt_daemon import admin_app
+from chestnutshunt_daemon import duties
 from chestnutshunt_daemon import front_app
 from chestnutshunt_daemon import http_server
 from chestnutshunt_daemon import node
@@ -54,6 +55,7 @@
         stack.enter_context(peer_server.peer_server(held))
         stack.enter_context(thread_of(held, mesh.run, 'mesh'))
         stack.enter_context(thread_of(held, follower.run, 'relay'))
+        stack.enter_context(thread_of(held, duties.Duties(held).run, 'duties'))
         stack.enter_context(
             http_server.http_server(
                 config.admin_address,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
@@ -25,6 +25,7 @@
         'targets': dump_targets(held),
         'queues': dump_queues(held),
         'attempts': dump_attempts(held),
+        'coordinates': dump_runs(held),
         'budgets': {
             '/'.join(key): round(budget.balance, 2)
             for key, budget in list(held.budgets.items())
@@ -121,3 +122,19 @@
         'kept': len(held.attempts.finished),
         'kept_bytes': held.attempts.finished_bytes,
     }
+
+
+def dump_runs(held: node.Node) -> dict[str, Any]:
+    """Return the runs that are coordinated here."""
+    return {
+        run: {
+            'held': item.charge.held,
+            'orphaned': item.charge.orphaned,
+            'fence': item.charge.fence,
+            'cursor': item.cursor,
+            'made': sorted(item.made),
+            'version': item.version(),
+            'loaded': dict(item.loader.loaded),
+        }
+        for run, item in list(held.coordinators.items())
+    }
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
@@ -77,10 +77,18 @@
                 fields = json.loads(line)
             except ValueError as exc:
                 raise self.broken(answer, 'sent a malformed line') from exc
-            if 'token' in fields:
-                self.tokens.append(fields['token'])
-            elif fields.get('done'):
-                self.whole = True
+            if not isinstance(fields, dict):
+                raise self.broken(answer, 'sent a malformed line')
+            self.read_line(answer, fields)
+
+    def read_line(
+        self, answer: target_call.TargetAnswer, fields: dict[str, Any]
+    ) -> None:
+        """Collect a token, or note the end of the answer."""
+        if 'token' in fields:
+            self.tokens.append(fields['token'])
+        elif fields.get('done'):
+            self.whole = True
 
     def broken(
         self, answer: target_call.TargetAnswer, reason: str
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
@@ -22,12 +22,17 @@
 from chestnutshunt_daemon import execution
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import once_execution
+from chestnutshunt_daemon import run_api
 
 __all__ = ['FrontApplication', 'render_error']
 
 LOG = logging.getLogger(__name__)
 
+RUNS_PREFIX = '/v1/runs/'
+MAX_RUN_BODY = 4096
+
 REASONS = {
+    200: 'OK',
     400: 'Bad Request',
     401: 'Unauthorized',
     403: 'Forbidden',
@@ -108,6 +113,9 @@
 
     def parts(self, environ: dict[str, Any]) -> Iterator[execution.Part]:
         """Yield the head and the body of the answer to a request."""
+        if environ['PATH_INFO'].startswith(RUNS_PREFIX):
+            yield from self.run_parts(environ)
+            return
         service, path = caller_parser.split_path(environ)
         settings = self.held.current_tree().settings(f'services/{service}')
         environ['chestnutshunt.service'] = service
@@ -119,6 +127,36 @@
                 exc.ran = progress.Progress.MAY_HAVE_RUN
             raise
 
+    def run_parts(self, environ: dict[str, Any]) -> Iterator[execution.Part]:
+        """Answer a trainer's call."""
+        call = run_api.parse_run_path(
+            environ['PATH_INFO'], environ.get('QUERY_STRING', '')
+        )
+        settings = self.held.current_tree().settings(f'runs/{call.run}')
+        authorization = caller_parser.header_of(environ, 'Authorization')
+        given = self.held.keys.identify(authorization).alt(raise_error)
+        if given.unwrap().workspace != settings.workspace:
+            raise errors.Forbidden('The run is of another workspace.')
+        if self.held.draining.is_set():
+            raise errors.Draining('This daemon is shutting down.')
+        if call.step is None:
+            body = caller_parser.read_body(environ, MAX_RUN_BODY)
+            data = run_api.publish_version(self.held, call.run, body)
+        else:
+            service = self.held.current_tree().settings(
+                f'services/{settings.service}'
+            )
+            timeout = caller_parser.parse_timeout(
+                caller_parser.header_of(environ, caller_parser.TIMEOUT_HEADER),
+                service,
+            )
+            deadline = self.held.clock.monotonic() + timeout
+            data = run_api.fetch_step(self.held, call, deadline)
+        size = ('Content-Length', str(len(data)))
+        kind = ('Content-Type', 'application/x-ndjson')
+        yield answer_head.AnswerHead(200, (kind, size))
+        yield data
+
     def checked_parts(
         self,
         environ: dict[str, Any],
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
@@ -5,6 +5,7 @@
 import functools
 import random
 import threading
+from typing import Any
 
 from chestnutshunt.admission import fair_queue
 from chestnutshunt.admission import key_ring
@@ -19,6 +20,9 @@
 from chestnutshunt.mirror import config_view
 from chestnutshunt.mirror import mirror
 from chestnutshunt.platform import client
+from chestnutshunt.rollout import batch_store
+from chestnutshunt.rollout import folder_store
+from chestnutshunt.rollout import memory_store
 from chestnutshunt.routing import chooser
 from chestnutshunt.routing import load_view
 from chestnutshunt.routing import target
@@ -76,6 +80,8 @@
         self.connections = connection_pool.ConnectionPool(self.clock)
         self.peers = peer_clients.PeerClients()
         self.metrics = metrics.Metrics()
+        self.bulk = make_bulk_store(config)
+        self.coordinators: dict[str, Any] = {}
         self.queues: dict[str, fair_queue.FairQueue] = {}
         self.budgets: dict[tuple[str, str], retry_budget.RetryBudget] = {}
         self.lock = threading.Lock()
@@ -144,3 +150,12 @@
             with self.idle:
                 self.in_flight -= 1
                 self.idle.notify_all()
+
+
+def make_bulk_store(
+    config: settings.DaemonSettings,
+) -> batch_store.BatchStore:
+    """Return the store of bulk bytes that the settings ask for."""
+    if config.data_folder:
+        return folder_store.FolderStore(config.data_folder)
+    return memory_store.MemoryStore()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
@@ -9,6 +9,8 @@
 from chestnutshunt.attempts import attempt
 from chestnutshunt import errors
 from chestnutshunt.mirror import mirror
+from chestnutshunt.rollout import batch
+from chestnutshunt_daemon import bulk
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_codec
 from chestnutshunt_daemon import remote_answer
@@ -22,6 +24,7 @@
 PULL_TIMEOUT = 3.0
 MAX_NAME_LENGTH = 256
 MAX_COUNTS = 10_000
+MAX_BULK_BYTES = 134_217_728
 
 
 class PeerService(peer_pb2_grpc.PeerServicer):
@@ -92,6 +95,73 @@
             yield peer_pb2.AnswerPart()
         yield from answer_parts(known, request.timeout_s)
 
+    def Fetch(
+        self, request: peer_pb2.FetchRequest, context: grpc.ServicerContext
+    ) -> Iterator[peer_pb2.Bytes]:
+        """Send bulk bytes that this daemon keeps."""
+        data = self.held.bulk.get(request.digest)
+        if data is None:
+            context.abort(
+                grpc.StatusCode.NOT_FOUND, 'The bytes are not kept here.'
+            )
+        for piece in bulk.pieces(data):
+            yield peer_pb2.Bytes(data=piece)
+
+    def Store(
+        self,
+        request_iterator: Iterator[peer_pb2.StoreRequest],
+        context: grpc.ServicerContext,
+    ) -> peer_pb2.StoreReply:
+        """Keep bulk bytes of another daemon as well."""
+        digest = ''
+        parts: list[bytes] = []
+        size = 0
+        for request in request_iterator:
+            digest = request.digest
+            size += len(request.data)
+            if size > MAX_BULK_BYTES:
+                return peer_pb2.StoreReply(stored=False)
+            parts.append(request.data)
+        data = b''.join(parts)
+        if batch.digest_of(data) != digest:
+            return peer_pb2.StoreReply(stored=False)
+        return peer_pb2.StoreReply(stored=self.held.bulk.put(digest, data))
+
+    def GetStep(
+        self, request: peer_pb2.StepRequest, context: grpc.ServicerContext
+    ) -> Iterator[peer_pb2.StepPart]:
+        """Send a step that this daemon coordinates."""
+        running = self.held.coordinators.get(request.run)
+        if running is None:
+            yield peer_pb2.StepPart(state=peer_pb2.StepPart.NOT_HERE)
+            return
+        deadline = self.held.clock.monotonic() + request.timeout_s
+        data = None
+        while data is None:
+            if self.held.clock.monotonic() >= deadline:
+                yield peer_pb2.StepPart(
+                    state=peer_pb2.StepPart.FAILED,
+                    failure='The step is being made.',
+                )
+                return
+            try:
+                data = running.hand_over(
+                    request.step,
+                    request.version,
+                    request.cut_off,
+                    remote_answer.BEAT,
+                )
+            except errors.NotHolder as exc:
+                yield peer_pb2.StepPart(
+                    state=peer_pb2.StepPart.NOT_HERE, failure=exc.message
+                )
+                return
+            if data is None:
+                yield peer_pb2.StepPart(state=peer_pb2.StepPart.WAITING)
+        for piece in bulk.pieces(data):
+            yield peer_pb2.StepPart(data=piece)
+        yield peer_pb2.StepPart(state=peer_pb2.StepPart.WHOLE)
+
 
 def answer_parts(
     known: attempt.Attempt, timeout: float
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/engine.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/engine.py
@@ -14,10 +14,13 @@
 __all__ = ['EngineApplication', 'expected_token']
 
 
-def expected_token(prompt: str, seed: int, index: int) -> str:
-    """Return the token that every engine makes at a position."""
+def expected_token(
+    prompt: str, seed: int, index: int, version: int = 1
+) -> str:
+    """Return the token that a version makes at a position."""
     text = f'{prompt}\0{seed}\0{index}'.encode()
-    return hashlib.blake2b(text, digest_size=3).hexdigest()
+    digest = hashlib.blake2b(text, digest_size=3).hexdigest()
+    return f'{digest}.{version}'
 
 
 class EngineApplication(http.Application):
@@ -88,9 +91,11 @@
             self.prefill(prompt)
             for index in range(first, count):
                 self.wait_token(index - first)
-                line = {'token': expected_token(prompt, seed, index)}
+                version = self.version
+                token = expected_token(prompt, seed, index, version)
+                line = {'token': token}
                 if not self.faults.get('hide_version'):
-                    line['version'] = self.version
+                    line['version'] = version
                 self.tokens += 1
                 yield json.dumps(line).encode() + b'\n'
             yield json.dumps({'done': True, 'tokens': count}).encode() + b'\n'
--- a/packages/chestnutshunt/chestnutshunt/config/run_settings.py
+++ b/packages/chestnutshunt/chestnutshunt/config/run_settings.py
@@ -12,6 +12,9 @@
     """What a training run wants of its rollouts."""
 
     service: str = field.setting('', 'engine service that makes the samples')
+    scorer: str = field.setting(
+        '', 'service that scores whole groups; empty for none'
+    )
     workspace: str = field.setting('', 'workspace that is charged')
     groups: int = field.setting(4, 'groups in a step', '', 1, 4096)
     group_size: int = field.setting(4, 'samples in a group', '', 1, 256)
--- a/packages/chestnutshunt/chestnutshunt/config/tree.py
+++ b/packages/chestnutshunt/chestnutshunt/config/tree.py
@@ -94,6 +94,8 @@
             self.check_reference(
                 path, 'workspace', 'workspaces', run.workspace
             )
+            if run.scorer:
+                self.check_reference(path, 'scorer', 'services', run.scorer)
 
     def check_reference(
         self, path: str, name: str, collection: str, value: str
--- a/packages/chestnutshunt/chestnutshunt/rollout/batch.py
+++ b/packages/chestnutshunt/chestnutshunt/rollout/batch.py
@@ -38,13 +38,9 @@
         """Oldest version that made any token of the step."""
         return min(item.oldest_version for item in self.samples)
 
-    def stale(self, current: int, bound: int) -> list[sample.Sample]:
-        """Return the samples that lag more than `bound` versions."""
-        return [
-            item
-            for item in self.samples
-            if current - item.oldest_version > bound
-        ]
+    def older_than(self, version: int) -> list[sample.Sample]:
+        """Return the samples with a token of an older version."""
+        return [x for x in self.samples if x.oldest_version < version]
 
     def encode(self) -> bytes:
         """Return the samples as JSON lines."""
--- a/packages/chestnutshunt/chestnutshunt/rollout/sample.py
+++ b/packages/chestnutshunt/chestnutshunt/rollout/sample.py
@@ -24,12 +24,15 @@
         The tokens, in order.
     versions : tuple of VersionRange
         Ranges that cover all tokens.
+    reward : float or None
+        What the scoring service said, if the run has one.
     """
 
     id: sample_id.SampleId
     prompt: str
     tokens: tuple[str, ...]
     versions: tuple[version_range.VersionRange, ...]
+    reward: float | None = None
 
     @property
     def oldest_version(self) -> int:
@@ -46,6 +49,7 @@
                 [item.version, item.first, item.count]
                 for item in self.versions
             ],
+            'reward': self.reward,
         }
         return json.dumps(fields).encode() + b'\n'
 
@@ -66,4 +70,5 @@
                 version_range.VersionRange(*item)
                 for item in fields['versions']
             ),
+            reward=fields['reward'],
         )
