--- /dev/null
+++ b/packages/chestnutshunt-cli/chestnutshunt_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of chestnutshunt."""
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,121 @@
+import json
+import subprocess
+import sys
+
+import pytest
+
+from tests import cluster
+
+
+@pytest.fixture(scope='module')
+def parts(tmp_path_factory):
+    with cluster.cluster(tmp_path_factory.mktemp('cli')) as made:
+        made.target('plain', 'orders', 'marmara-a', 'plain-1')
+        made.editor.set('services/orders', {'timeout_s': 7.0})
+        made.editor.set('workspaces/counter', {})
+        made.daemon('one')
+        made.wait_ready()
+        yield made
+
+
+def run(parts, *arguments):
+    done = subprocess.run(
+        [sys.executable, '-m', 'chestnutshunt_cli.main', *arguments],
+        capture_output=True,
+        text=True,
+        env={
+            'CHESTNUTSHUNT_PLATFORM': parts.platform_url,
+            'NO_COLOR': '1',
+            'COLUMNS': '79',
+        },
+        timeout=60,
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+def test_show_names_the_origin(parts):
+    code, out, _ = run(parts, 'show', 'services/orders', '--json')
+    shown = json.loads(out)
+    assert code == 0
+    assert shown['timeout_s'] == {'value': 7.0, 'path': 'services/orders'}
+    assert shown['max_attempts']['path'] == '(default)'
+
+
+def test_show_lists_units(parts, snapshot):
+    _, out, _ = run(parts, 'show', 'services/orders')
+    assert out == snapshot
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'code', 'message'),
+    [
+        (('set', 'services/orders', 'timeout_s=0'), 2, 'out of bounds'),
+        (('set', 'services/orders', 'timout_s=1'), 2, "'timeout_s'"),
+        (('set', 'services/orders', 'timeout_s="x"'), 2, 'wrong type'),
+        (('set', 'elsewhere/x', 'a=1'), 2, 'no such place'),
+        (('set', 'runs/r', 'service="none"'), 2, 'no such node'),
+        (('unset', 'services/none', 'a'), 2, 'has no'),
+        (('key', 'create', 'none'), 2, 'no workspace'),
+        (('key', 'withdraw', 'counter', 'none'), 2, 'no key'),
+        (('status', 'weather'), 2, 'daemons, targets'),
+        (('dump', '127.0.0.1:1'), 4, 'does not answer'),
+    ],
+)
+def test_refusals_name_the_remedy(parts, arguments, code, message):
+    done = run(parts, *arguments)
+    assert done[0] == code
+    assert message in done[2]
+
+
+def test_unreachable_platform_has_its_exit_code(parts):
+    code, _, error = run(parts, 'list', '--platform', 'http://127.0.0.1:1')
+    assert code == 4
+    assert 'Check the platform address' in error
+
+
+def test_apply_and_diff(parts, tmp_path):
+    file = tmp_path / 'tree.toml'
+    file.write_text(
+        '["services/model"]\nprotocol = "engine"\n'
+        '["runs/coats"]\nservice = "model"\nworkspace = "counter"\n'
+    )
+    assert run(parts, 'diff', str(file))[0] == 5
+    code, out, error = run(parts, 'apply', str(file))
+    assert (code, error) == (0, '')
+    assert '3 settings changed' in out
+    assert run(parts, 'diff', str(file))[0] == 0
+
+
+def test_key_works_and_stops(parts):
+    _, token, _ = run(parts, 'key', 'create', 'counter')
+    token = token.strip()
+    parts.wait_config()
+    url = f'http://{parts.daemons[0].caller}/s/orders/look'
+    assert run(parts, 'send', url, '--key', token, '--body', 'x')[0] == 0
+    key_id = token.split('.')[1]
+    assert run(parts, 'key', 'withdraw', 'counter', key_id)[0] == 0
+    parts.wait_config()
+    code, out, _ = run(parts, 'send', url, '--key', token)
+    assert code == 2
+    assert json.loads(out)['error']['kind'] == 'unauthorized'
+
+
+def test_status_and_load(parts):
+    _, out, _ = run(parts, 'status', 'daemons', '--json')
+    assert json.loads(out)['one']['state'] == 'running'
+    assert 'plain-1' in run(parts, 'status', 'targets')[1]
+    _, token, _ = run(parts, 'key', 'create', 'counter')
+    parts.wait_config()
+    url = f'http://{parts.daemons[0].caller}/s/orders/look'
+    code, out, _ = run(
+        parts,
+        'load',
+        url,
+        '--key',
+        token.strip(),
+        '--requests',
+        '50',
+        '--json',
+    )
+    assert code == 0
+    assert json.loads(out)['outcome 200'] == 50
