Divide workspaces' limits among daemons by a shared record

Each daemon holds a part of a workspace's limit, recorded in one platform object per workspace; a part is raised only after the platform has confirmed it and lowered before it is told.

Found on the way: a background thread that was never started, or that dies, goes unnoticed. Threads are now supervised and started anew with a log entry.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -14,6 +14,7 @@
 from chestnutshunt_daemon import duties
 from chestnutshunt_daemon import front_app
 from chestnutshunt_daemon import http_server
+from chestnutshunt_daemon import limits
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_mesh
 from chestnutshunt_daemon import peer_server
@@ -25,6 +26,7 @@
 LOG = logging.getLogger(__name__)
 
 ADMIN_THREADS = 4
+RESTART_DELAY = 1.0
 LEAVING_NOTICE = 1.5
 """Seconds in which peers and the balancer hear of a shutdown."""
 
@@ -47,6 +49,7 @@
     """Run a daemon until the context ends."""
     config = held.config
     steps.gates.enabled = config.debug_steps
+    held.limits = limits.Limits(held)
     mesh = peer_mesh.PeerMesh(held)
     follower = relay.Relay(held)
     with contextlib.ExitStack() as stack:
@@ -55,6 +58,7 @@
         stack.enter_context(peer_server.peer_server(held))
         stack.enter_context(thread_of(held, mesh.run, 'mesh'))
         stack.enter_context(thread_of(held, follower.run, 'relay'))
+        stack.enter_context(thread_of(held, held.limits.run, 'limits'))
         stack.enter_context(thread_of(held, duties.Duties(held).run, 'duties'))
         stack.enter_context(
             http_server.http_server(
@@ -80,8 +84,17 @@
 def thread_of(
     held: node.Node, run: Callable[[], None], name: str
 ) -> Iterator[threading.Thread]:
-    """Run a thread that ends when the daemon stops."""
-    thread = threading.Thread(target=run, name=name, daemon=True)
+    """Run a thread until the daemon stops; a failure is logged."""
+
+    def supervise() -> None:
+        while not held.stopped.is_set():
+            try:
+                run()
+            except Exception:
+                LOG.exception('The thread %s failed and is started anew', name)
+                held.stopped.wait(RESTART_DELAY)
+
+    thread = threading.Thread(target=supervise, name=name, daemon=True)
     thread.start()
     try:
         yield thread
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
@@ -25,6 +25,15 @@
         'targets': dump_targets(held),
         'queues': dump_queues(held),
         'attempts': dump_attempts(held),
+        'limits': {
+            name: {
+                'limit': item.limit.encode(),
+                'holding': item.holding.encode(),
+                'demand': item.demand.encode(),
+                'in_flight': item.in_flight,
+            }
+            for name, item in list(held.limits.keepers.items())
+        },
         'coordinates': dump_runs(held),
         'budgets': {
             '/'.join(key): round(budget.balance, 2)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
@@ -40,6 +40,10 @@
         made = self.asked.get('max_tokens', DEFAULT_MAX_TOKENS)
         return float(made) + len(self.asked['prompt']) / 4
 
+    def made(self) -> float:
+        """Return the tokens that were made, prompt included."""
+        return len(self.tokens) + len(self.asked['prompt']) / 4
+
     def body_to_send(self) -> bytes:
         """Return the request, with the tokens that are already there."""
         if not self.tokens:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -1,6 +1,7 @@
 """Runs one request at its targets, with retries, to its whole answer."""
 
 from collections.abc import Iterator
+import contextlib
 import logging
 import random
 
@@ -71,14 +72,21 @@
         if self.held.quarantine.refuses(self.digest):
             raise errors.Quarantined('This request has crashed targets.')
         queue = self.held.queue(self.request.service, self.slots())
-        with queue.slot(
-            self.given.workspace,
-            self.given.settings.weight,
-            self.cost(),
-            self.request.deadline,
-            settings.queue_length,
-        ):
+        with contextlib.ExitStack() as stack:
+            reserved = stack.enter_context(
+                self.held.limits.admitted(self.given, self.cost())
+            )
+            stack.enter_context(
+                queue.slot(
+                    self.given.workspace,
+                    self.given.settings.weight,
+                    self.cost(),
+                    self.request.deadline,
+                    settings.queue_length,
+                )
+            )
             yield from self.try_targets()
+            reserved.made = self.made()
 
     def reached(self) -> progress.Progress:
         """Return what a refusal may truthfully say of the request."""
@@ -99,6 +107,10 @@
         """Return the request's expected cost for the fair queue."""
         return 1.0
 
+    def made(self) -> float:
+        """Return the tokens that were made, 0.0 for a plain service."""
+        return 0.0
+
     def try_targets(self) -> Iterator[Part]:
         """Make attempts until one gives an answer."""
         service = self.request.service
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
@@ -216,10 +216,7 @@
     ) -> Iterator[execution.Part]:
         """Yield the answer of a request that runs, or ran, here."""
         if running.body != request.body:
-            raise errors.BadRequest(
-                'The identity was used for another request.',
-                'Send a new request under an identity of its own.',
-            )
+            raise once_execution.identity_reused()
         self.held.metrics.joined.labels(request.service).inc()
         remaining = request.deadline - self.held.clock.monotonic()
         try:
@@ -248,7 +245,7 @@
             yield from publish(chosen.parts(), running)
             failure = None
         except errors.ChestnutshuntError as exc:
-            exc.ran = chosen.reached() if chosen else None
+            exc.ran = exc.ran or (chosen.reached() if chosen else None)
             failure = exc
             raise
         finally:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
@@ -34,7 +34,7 @@
 
 __all__ = ['MIRRORED_KINDS', 'Node']
 
-MIRRORED_KINDS = ('config', 'member', 'target', 'weights')
+MIRRORED_KINDS = ('config', 'member', 'share', 'target', 'weights')
 
 FINISHED_ANSWERS_S = 60.0
 """Seconds an answer is kept for resends."""
@@ -81,6 +81,8 @@
         self.peers = peer_clients.PeerClients()
         self.metrics = metrics.Metrics()
         self.bulk = make_bulk_store(config)
+        self.ended_vms: frozenset[str] = frozenset()
+        self.limits: Any = None
         self.coordinators: dict[str, Any] = {}
         self.queues: dict[str, fair_queue.FairQueue] = {}
         self.budgets: dict[tuple[str, str], retry_budget.RetryBudget] = {}
@@ -139,6 +141,27 @@
                 self.budgets[key] = retry_budget.RetryBudget()
             return self.budgets[key]
 
+    def ended_owners(self, owners: set[str]) -> set[str]:
+        """Return the owners that are known to have ended.
+
+        A later start under the same name shows it, or the platform's list of
+        VMs, in which an ended VM is marked. Silence alone does not.
+        """
+        return {
+            owner
+            for owner in owners
+            if owner != self.own.owner and self.has_ended(owner)
+        }
+
+    def has_ended(self, owner: str) -> bool:
+        """Tell whether a start of a daemon is known to have ended."""
+        name, _, incarnation = owner.partition('/')
+        listed = self.mirror.get(member.MEMBER_KIND, name)
+        if listed is not None:
+            if listed.value.get('incarnation') != incarnation:
+                return True
+        return name in self.ended_vms
+
     @contextlib.contextmanager
     def counted(self) -> Iterator[None]:
         """Count a request that a shutdown has to wait for."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/once_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/once_execution.py
@@ -18,7 +18,7 @@
 from chestnutshunt_daemon import target_call
 from chestnutshunt_daemon import target_error
 
-__all__ = ['OnceExecution']
+__all__ = ['OnceExecution', 'identity_reused']
 
 LOG = logging.getLogger(__name__)
 
@@ -104,10 +104,7 @@
                 self.claimed = True
                 return None
             if outcome.held.body != self.digest:
-                raise errors.BadRequest(
-                    'The identity was used for another request.',
-                    'Send a new request under an identity of its own.',
-                )
+                raise identity_reused()
             if not self.is_abandoned(outcome.held):
                 return outcome.held
             unused = attrs.evolve(outcome.held, released=True)
@@ -180,3 +177,13 @@
         yield local.wait_head(remaining)
         yield from local.follow(remaining)
         self.running.advance(progress.Progress.RAN)
+
+
+def identity_reused() -> errors.BadRequest:
+    """Return the error of a request under another request's identity."""
+    error = errors.BadRequest(
+        'The identity was used for another request.',
+        'Send a new request under an identity of its own.',
+    )
+    error.ran = progress.Progress.NOT_SENT
+    return error
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from returns import result
+
 from chestnutshunt.mirror import follower
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_mesh
@@ -58,5 +60,16 @@
             return
         if self.follower.list_once():
             self.listed_at = now
+            self.read_vms()
         else:
             self.listed_at = now - LIST_PERIOD + REVIEW_PERIOD
+
+    def read_vms(self) -> None:
+        """Take over which VMs the platform lists as gone."""
+        match self.held.platform.vms():
+            case result.Success(listed):
+                self.held.ended_vms = frozenset(
+                    item['name']
+                    for item in listed
+                    if item.get('state') == 'gone'
+                )
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/platform.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/platform.py
@@ -21,7 +21,7 @@
 
     Faults: ``down`` (bool), ``delay`` (s), ``lose_replies`` (count of writes
     that take effect without a reply), ``start_delay`` (s until an ordered
-    target runs).
+    target runs), ``vms`` (the list of VMs: name and state).
     """
 
     def __init__(self) -> None:
@@ -63,7 +63,7 @@
             return 200, {}
         if parts[0] == 'vms':
             self.counts['read'] += 1
-            return 200, {'vms': self.store.vm_list}
+            return 200, {'vms': self.faults.get('vms', [])}
         return 404, {}
 
     def handle_object(
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -18,7 +18,7 @@
 from chestnutshunt.platform import client
 from chestnutshunt.platform import http_client
 
-HTTP = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=32)
+HTTP = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=128)
 START_LIMIT = 30.0
 
 
