--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -20,6 +20,7 @@
 from chestnutshunt_daemon import peer_server
 from chestnutshunt_daemon import relay
 from chestnutshunt_daemon import settings
+from chestnutshunt_daemon import usage_counter
 
 __all__ = ['drain', 'make_node', 'running']
 
@@ -50,6 +51,7 @@
     config = held.config
     steps.gates.enabled = config.debug_steps
     held.limits = limits.Limits(held)
+    held.usage = usage_counter.UsageCounter(held)
     mesh = peer_mesh.PeerMesh(held)
     follower = relay.Relay(held)
     with contextlib.ExitStack() as stack:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
@@ -19,6 +19,8 @@
         'draining': held.draining.is_set(),
         'in_flight': held.in_flight,
         'threads': threading.active_count(),
+        'platform_age_ms': held.freshness.age_ms(),
+        'usage_copies': held.usage.copies,
         'platform_calls': getattr(held.platform, 'calls', 0),
         'config': dump_config(held),
         'peers': dump_peers(held),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
@@ -17,6 +17,7 @@
 MAX_LINE_BYTES = 65_536
 AFFINITY_CHARACTERS = 64
 DEFAULT_MAX_TOKENS = 16
+RECLAIMING = 'reclaiming'
 
 
 @attrs.define(eq=False)
@@ -30,6 +31,7 @@
     asked: dict[str, Any] = attrs.field(factory=dict)
     tokens: list[str] = attrs.field(factory=list)
     whole: bool = False
+    revision: int = -1
 
     def __attrs_post_init__(self) -> None:
         self.asked = parse_body(self.request.body)
@@ -62,6 +64,7 @@
         pending = b''
         for chunk in answer.body():
             self.check_key()
+            self.leave_reclaimed(answer)
             lines, separator, pending = (pending + chunk).rpartition(b'\n')
             if len(pending) > MAX_LINE_BYTES:
                 raise self.broken(answer, 'sent an endless line')
@@ -72,6 +75,23 @@
             raise self.broken(answer, 'ended without saying so')
         self.running.advance(progress.Progress.RAN)
 
+    def leave_reclaimed(self, answer: target_call.TargetAnswer) -> None:
+        """Move on if the engine is about to be reclaimed."""
+        revision = self.held.mirror.revision
+        if revision == self.revision:
+            return
+        self.revision = revision
+        listed = self.held.targets(self.request.service)
+        states = {item.name: item.state for item in listed}
+        if states.get(answer.name) != RECLAIMING:
+            return
+        if 'running' in states.values():
+            raise target_error.TargetError(
+                f'{answer.name} is about to be reclaimed.',
+                progress.Progress.MAY_HAVE_RUN,
+                moved=True,
+            )
+
     def read_lines(
         self, answer: target_call.TargetAnswer, lines: bytes
     ) -> None:
@@ -93,6 +113,7 @@
             self.tokens.append(fields['token'])
         elif fields.get('done'):
             self.whole = True
+            self.count_usage()
 
     def broken(
         self, answer: target_call.TargetAnswer, reason: str
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -12,8 +12,10 @@
 from chestnutshunt.attempts import attempt
 from chestnutshunt.attempts import identity
 from chestnutshunt.attempts import progress
+from chestnutshunt.attempts import retry_budget
 from chestnutshunt import errors
 from chestnutshunt.routing import target
+from chestnutshunt.usage import count
 from chestnutshunt_daemon import caller_request
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import target_call
@@ -117,22 +119,35 @@
         budget = self.held.budget(self.given.workspace, service)
         budget.earn(self.request.settings.retry_share)
         limit = self.request.settings.max_attempts
-        for number in range(1, limit + 1):
+        number = 1
+        while True:
             chosen = self.choose()
             try:
                 yield from self.attempt_at(chosen, number == limit)
                 self.note(chosen, 'answered')
                 return
             except target_error.TargetError as exc:
+                if exc.moved:
+                    self.tried.add(chosen.name)
+                    self.note(chosen, 'moved')
+                    continue
                 self.note_failure(chosen, exc)
                 if number == limit or not self.may_retry(exc):
                     raise
-                if not budget.spend():
-                    message = f'No retry left after: {exc.message}'
-                    raise errors.RetryBudgetSpent(
-                        message, retry_after=1.0
-                    ) from exc
+                self.spend_retry(budget, exc)
                 self.back_off(number, exc)
+                number += 1
+
+    def spend_retry(
+        self,
+        budget: retry_budget.RetryBudget,
+        failure: target_error.TargetError,
+    ) -> None:
+        """Spend a retry, or raise `RetryBudgetSpent`."""
+        if budget.spend():
+            return
+        message = f'No retry is left after: {failure.message}'
+        raise errors.RetryBudgetSpent(message, retry_after=1.0) from failure
 
     def attempt_at(self, chosen: target.Target, last: bool) -> Iterator[Part]:
         """Make one attempt; a kept connection that is closed costs none."""
@@ -197,10 +212,17 @@
                 yield answer.head
                 yield b''.join(kept)
         self.running.advance(progress.Progress.RAN)
+        self.count_usage()
         if not passing:
             yield answer.head
             yield b''.join(kept)
 
+    def count_usage(self) -> None:
+        """Count a request that a target has reported as done."""
+        tokens = int(self.made())
+        used = count.Count(1, tokens)
+        self.held.usage.record(self.given.workspace, used)
+
     def check_key(self) -> None:
         """Raise if the key was withdrawn since the request came."""
         if not self.held.keys.in_force(self.given):
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
@@ -31,6 +31,9 @@
 RUNS_PREFIX = '/v1/runs/'
 MAX_RUN_BODY = 4096
 
+CUT_OFF_AFTER = 5.0
+"""Seconds without the platform after which a service may refuse."""
+
 REASONS = {
     200: 'OK',
     400: 'Bad Request',
@@ -176,6 +179,8 @@
         )
         if self.held.draining.is_set():
             raise errors.Draining('This daemon is shutting down.')
+        if settings.cut_off == 'refuse':
+            self.refuse_cut_off()
         allowed = given.alt(raise_error).unwrap()
         request = caller_parser.parse(
             self.held, environ, service, path, settings
@@ -187,6 +192,11 @@
             self.held.clock.monotonic() - started
         )
 
+    def refuse_cut_off(self) -> None:
+        """Raise if keys could not be checked for too long."""
+        if self.held.freshness.is_older_than(CUT_OFF_AFTER):
+            raise errors.CutOff('Keys cannot be checked at present.')
+
     def answer(
         self, request: caller_request.CallerRequest, given: grant.Grant
     ) -> Iterator[execution.Part]:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
@@ -25,9 +25,11 @@
 from chestnutshunt.rollout import memory_store
 from chestnutshunt.routing import chooser
 from chestnutshunt.routing import load_view
+from chestnutshunt.routing import queue_view
 from chestnutshunt.routing import target
 from chestnutshunt import system_clock
 from chestnutshunt_daemon import connection_pool
+from chestnutshunt_daemon import freshness
 from chestnutshunt_daemon import metrics
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon import settings
@@ -71,6 +73,7 @@
         self.keys = key_ring.KeyRing(self.current_tree)
         self.directory = directory.Directory(self.clock, own)
         self.loads = load_view.LoadView(self.clock)
+        self.queue_view = queue_view.QueueView(self.clock)
         self.chooser = chooser.Chooser(self.loads, random.Random())
         self.attempts = attempt_table.AttemptTable(
             self.clock, FINISHED_ANSWERS_S
@@ -82,6 +85,8 @@
         self.metrics = metrics.Metrics()
         self.bulk = make_bulk_store(config)
         self.ended_vms: frozenset[str] = frozenset()
+        self.freshness = freshness.Freshness(self.clock)
+        self.usage: Any = None
         self.limits: Any = None
         self.coordinators: dict[str, Any] = {}
         self.queues: dict[str, fair_queue.FairQueue] = {}
@@ -133,6 +138,18 @@
             held.resize(slots)
         return held
 
+    def queue_digest(self) -> dict[str, int]:
+        """Return the waiting requests of this daemon, by service."""
+        with self.lock:
+            queues = list(self.queues.items())
+        counts = {name: sum(q.waiting.values()) for name, q in queues}
+        return {name: count for name, count in counts.items() if count}
+
+    def waiting(self, service: str) -> int:
+        """Return the requests that wait for a service at all daemons."""
+        own = self.queue_digest().get(service, 0)
+        return own + self.queue_view.waiting(service)
+
     def budget(self, workspace: str, service: str) -> retry_budget.RetryBudget:
         """Return the retry budget of a workspace at a service."""
         key = (workspace, service)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_codec.py
@@ -7,6 +7,8 @@
 from chestnutshunt.membership import member
 from chestnutshunt.mirror import mirror
 from chestnutshunt.platform import stored_object
+from chestnutshunt.usage import count
+from chestnutshunt.usage import tally_key
 from chestnutshunt_daemon.wire import peer_pb2
 
 __all__ = [
@@ -14,9 +16,11 @@
     'decode_entry',
     'decode_member',
     'decode_object',
+    'decode_tallies',
     'encode_changes',
     'encode_claim',
     'encode_entry',
+    'encode_tallies',
 ]
 
 BATCH_OBJECTS = 500
@@ -111,3 +115,31 @@
         value=value,
         deleted=message.deleted,
     )
+
+
+def encode_tallies(
+    tallies: dict[tally_key.TallyKey, count.Count],
+) -> peer_pb2.TallyBatch:
+    """Return the message of some tallies."""
+    batch = peer_pb2.TallyBatch()
+    for key, held in tallies.items():
+        batch.tallies.add(
+            window=key.window,
+            owner=key.owner,
+            workspace=key.workspace,
+            requests=held.requests,
+            tokens=held.tokens,
+        )
+    return batch
+
+
+def decode_tallies(
+    batch: peer_pb2.TallyBatch,
+) -> dict[tally_key.TallyKey, count.Count]:
+    """Build tallies from their message."""
+    return {
+        tally_key.TallyKey(
+            item.window, item.owner, item.workspace
+        ): count.Count(item.requests, item.tokens)
+        for item in batch.tallies
+    }
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
@@ -127,6 +127,20 @@
             return peer_pb2.StoreReply(stored=False)
         return peer_pb2.StoreReply(stored=self.held.bulk.put(digest, data))
 
+    def KeepTallies(
+        self, request: peer_pb2.TallyBatch, context: grpc.ServicerContext
+    ) -> peer_pb2.TallyReply:
+        """Keep copies of another daemon's usage tallies."""
+        self.held.usage.book.merge(peer_codec.decode_tallies(request))
+        return peer_pb2.TallyReply()
+
+    def GetTallies(
+        self, request: peer_pb2.TallyRequest, context: grpc.ServicerContext
+    ) -> peer_pb2.TallyBatch:
+        """Send all usage tallies that this daemon has."""
+        tallies = self.held.usage.book.since(request.oldest_window)
+        return peer_codec.encode_tallies(tallies)
+
     def GetStep(
         self, request: peer_pb2.StepRequest, context: grpc.ServicerContext
     ) -> Iterator[peer_pb2.StepPart]:
@@ -209,9 +223,12 @@
         admin_address=own.admin_address,
         leaving=held.draining.is_set(),
         revision=held.mirror.revision,
+        platform_age_ms=held.freshness.age_ms(),
     )
     for name, count in held.loads.digest().items():
         frame.counts.add(target=name, in_flight=count)
+    for service, waiting in held.queue_digest().items():
+        frame.queues.add(service=service, waiting=waiting)
     for digest, targets in held.quarantine.digest().items():
         frame.crashes.add(digest=digest, targets=targets)
     return frame
@@ -221,8 +238,11 @@
     """Take over what a peer's heartbeat says."""
     peer = peer_codec.decode_member(frame)
     held.directory.heard(peer, frame.leaving)
+    held.freshness.heard(frame.platform_age_ms)
     counts = {item.target: item.in_flight for item in frame.counts}
     held.loads.peer_reported(peer.name, counts)
+    waiting = {item.service: item.waiting for item in frame.queues}
+    held.queue_view.peer_reported(peer.name, waiting)
     crashes = {item.digest: list(item.targets) for item in frame.crashes}
     held.quarantine.peer_reported(crashes)
     held.metrics.heartbeats.labels('received').inc()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
@@ -48,7 +48,9 @@
                 self.published = peer_mesh.publish_member(self.held)
             self.list_if_due()
             if self.held.directory.is_relay(RELAYS):
-                if not self.follower.watch_once(WATCH_TIMEOUT):
+                if self.follower.watch_once(WATCH_TIMEOUT):
+                    self.held.freshness.confirm()
+                else:
                     self.held.stopped.wait(REVIEW_PERIOD)
             else:
                 self.held.stopped.wait(REVIEW_PERIOD)
@@ -60,6 +62,7 @@
             return
         if self.follower.list_once():
             self.listed_at = now
+            self.held.freshness.confirm()
             self.read_vms()
         else:
             self.listed_at = now - LIST_PERIOD + REVIEW_PERIOD
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
@@ -17,6 +17,8 @@
         True if the connection was closed on a request that had been sent.
     stale : bool
         True if a kept connection turned out to be closed.
+    moved : bool
+        True if the request leaves a target that is about to be reclaimed.
     """
 
     def __init__(
@@ -25,8 +27,10 @@
         reached: progress.Progress,
         crashed: bool = False,
         stale: bool = False,
+        moved: bool = False,
     ) -> None:
         super().__init__(message)
         self.progress = reached
         self.crashed = crashed
         self.stale = stale
+        self.moved = moved
--- /dev/null
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/usage_reporter.py
@@ -0,0 +1,175 @@
+"""Freezes and reports windows while the lease is held."""
+
+import logging
+import threading
+
+import grpc
+from returns import result
+
+from chestnutshunt import errors
+from chestnutshunt.lease import lease
+from chestnutshunt.platform import client
+from chestnutshunt import steps
+from chestnutshunt.usage import frozen_window
+from chestnutshunt_daemon import node
+from chestnutshunt_daemon import peer_codec
+from chestnutshunt_daemon import usage_counter
+from chestnutshunt_daemon.wire import peer_pb2
+
+__all__ = ['UsageReporter']
+
+LOG = logging.getLogger(__name__)
+
+REPORTED_KIND = 'usage-reported'
+ASK_TIMEOUT = 2.0
+MAX_WINDOWS_BACK = 6
+"""Windows that a new reporter looks back for one that is frozen."""
+
+PERIOD = 0.2
+
+
+class UsageReporter:
+    """Reports each window once, always with the same figures.
+
+    A window's figures are frozen by a conditional create; whoever reports it
+    renders the frozen object.
+
+    Parameters
+    ----------
+    held : Node
+        The daemon.
+    charge : Lease
+        Lease of the reports.
+    """
+
+    def __init__(self, held: node.Node, charge: lease.Lease) -> None:
+        self.held = held
+        self.charge = charge
+        self.stopped = threading.Event()
+        self.next_window: int | None = None
+        self.before: frozen_window.FrozenWindow | None = None
+        self.reported: set[int] = set()
+        self.thread = threading.Thread(
+            target=self.run, name='usage', daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread of the reports."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """End the work."""
+        self.stopped.set()
+
+    def run(self) -> None:
+        """Report windows as they end."""
+        while not self.stopped.wait(PERIOD):
+            try:
+                self.advance()
+            except errors.ChestnutshuntError as exc:
+                LOG.info('Usage: %s', exc)
+
+    def advance(self) -> None:
+        """Freeze and report the windows that have ended."""
+        settings = usage_counter.report_settings_of(self.held)
+        ended = self.held.clock.wall() - settings.grace_s
+        last = int(ended // settings.window_s) - 1
+        if self.next_window is None:
+            self.find_start(last)
+        while self.next_window <= last and not self.stopped.is_set():
+            frozen = self.freeze(self.next_window)
+            self.report(frozen)
+            self.before = frozen
+            self.next_window += 1
+
+    def find_start(self, last: int) -> None:
+        """Find the newest frozen window, and report what was not yet."""
+        found: list[frozen_window.FrozenWindow] = []
+        for window in range(last, last - MAX_WINDOWS_BACK, -1):
+            held = self.read(window)
+            if held is not None:
+                found.append(held)
+        if not found:
+            self.next_window = last
+            return
+        for frozen in reversed(found):
+            self.report(frozen)
+        self.before = found[0]
+        self.next_window = found[0].window + 1
+
+    def read(self, window: int) -> frozen_window.FrozenWindow | None:
+        """Return a frozen window, ``None`` if there is none."""
+        name = frozen_window.window_name(window)
+        match self.held.platform.get(frozen_window.USAGE_KIND, name):
+            case result.Success(None):
+                return None
+            case result.Success(found):
+                return frozen_window.FrozenWindow.decode(found.value)
+            case result.Failure(error):
+                raise error
+        return None
+
+    def freeze(self, window: int) -> frozen_window.FrozenWindow:
+        """Freeze a window, or return what another process froze."""
+        self.collect(window)
+        tallies = self.held.usage.book.since(0)
+        made = frozen_window.freeze(window, tallies, self.before)
+        steps.reach('usage.before_freeze')
+        self.charge.require()
+        written = client.put_settled(
+            self.held.platform,
+            frozen_window.USAGE_KIND,
+            frozen_window.window_name(window),
+            made.encode(),
+            client.ABSENT,
+        )
+        steps.reach('usage.after_freeze')
+        match written:
+            case result.Success(_):
+                return made
+            case result.Failure(errors.Conflict()):
+                found = self.read(window)
+                if found is not None:
+                    return found
+        raise written.failure()
+
+    def collect(self, window: int) -> None:
+        """Ask all known daemons for the tallies that they have."""
+        oldest = window - frozen_window.LATE_WINDOWS
+        asked = peer_pb2.TallyRequest(oldest_window=oldest)
+        calls = []
+        for sighting in self.held.directory.known():
+            if not self.held.directory.is_live(sighting):
+                continue
+            stub = self.held.peers.stub(sighting.peer.address)
+            calls.append(stub.GetTallies.future(asked, timeout=ASK_TIMEOUT))
+        for call in calls:
+            try:
+                tallies = peer_codec.decode_tallies(call.result())
+                self.held.usage.book.merge(tallies)
+            except grpc.RpcError as exc:
+                LOG.info('Tallies are missing: %s', exc.code())
+
+    def report(self, frozen: frozen_window.FrozenWindow) -> None:
+        """Hand in a frozen window unless that is known to be done."""
+        name = frozen_window.window_name(frozen.window)
+        if frozen.window in self.reported:
+            return
+        match self.held.platform.get(REPORTED_KIND, name):
+            case result.Success(None):
+                pass
+            case result.Success(_):
+                self.reported.add(frozen.window)
+                return
+            case result.Failure(error):
+                raise error
+        steps.reach('usage.before_report')
+        self.charge.require()
+        sent = self.held.platform.report_usage(frozen.report())
+        steps.reach('usage.after_report')
+        if not isinstance(sent, result.Success):
+            raise sent.failure()
+        self.reported.add(frozen.window)
+        self.held.platform.put(
+            REPORTED_KIND, name, {'by': self.held.own.owner}, client.ABSENT
+        )
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/platform.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/platform.py
@@ -57,6 +57,8 @@
             return self.handle_watch(request)
         if parts[0] == 'orders':
             return self.handle_order(request.json())
+        if parts[0] == 'reclaim':
+            return self.reclaim(request.json())
         if parts[0] == 'usage':
             self.counts['write'] += 1
             self.log.add('usage', report=request.json())
@@ -119,6 +121,17 @@
             self.set_state(target, state)
         return 200, {}
 
+    def reclaim(self, asked: dict[str, Any]) -> tuple[int, Any]:
+        """Give notice to all cheap targets of a data centre."""
+        found = []
+        for held in self.store.list_objects(['target']).unwrap().objects:
+            cheap = held.value.get('cheap')
+            if cheap and held.value['datacentre'] == asked['datacentre']:
+                self.set_state(held, 'reclaiming')
+                found.append(held.name)
+        self.log.add('reclaim', targets=found)
+        return 200, {'targets': found}
+
     def change(self, order: dict[str, Any], state: str) -> None:
         """Finish an order whose effect takes time."""
         target = self.store.get('target', order['target']).unwrap()
--- a/packages/chestnutshunt/chestnutshunt/config/datacentre_settings.py
+++ b/packages/chestnutshunt/chestnutshunt/config/datacentre_settings.py
@@ -15,9 +15,9 @@
     min_targets: int = field.setting(
         1, 'targets of a service kept running', '', 0, 10_000
     )
+    scale_down_after_s: float = field.setting(
+        30.0, 'time of little demand before a target is let go', 's', 0, 86_400
+    )
     max_targets: int = field.setting(
         1000, 'targets of a service run at most', '', 0, 10_000
     )
-    drain_timeout_s: float = field.setting(
-        600.0, 'longest wait for a leaving target', 's', 1, 86_400
-    )
--- a/packages/chestnutshunt/chestnutshunt/config/schema.py
+++ b/packages/chestnutshunt/chestnutshunt/config/schema.py
@@ -8,6 +8,7 @@
 from chestnutshunt.config import datacentre_settings
 from chestnutshunt.config import field
 from chestnutshunt.config import key_settings
+from chestnutshunt.config import report_settings
 from chestnutshunt.config import run_settings
 from chestnutshunt.config import service_settings
 from chestnutshunt.config import workspace_settings
@@ -17,6 +18,7 @@
 
 COLLECTIONS: dict[str, type] = {
     'datacentres': datacentre_settings.DatacentreSettings,
+    'reports': report_settings.ReportSettings,
     'runs': run_settings.RunSettings,
     'services': service_settings.ServiceSettings,
     'workspaces': workspace_settings.WorkspaceSettings,
--- a/packages/chestnutshunt/chestnutshunt/errors.py
+++ b/packages/chestnutshunt/chestnutshunt/errors.py
@@ -8,6 +8,7 @@
     'ChestnutshuntError',
     'ConfigConflict',
     'Conflict',
+    'CutOff',
     'DeadlineTooShort',
     'Draining',
     'Forbidden',
@@ -220,6 +221,14 @@
     remedy = 'Read the object again and repeat the change.'
 
 
+class CutOff(ChestnutshuntError):
+    """The daemon is cut off and the service refuses then."""
+
+    kind = 'cut_off'
+    status = 503
+    remedy = 'Send it to another data centre, or set cut_off = "serve".'
+
+
 class HistoryLost(ChestnutshuntError):
     """The platform no longer has the changes after this revision."""
 
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""How many targets run, and which."""
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counting of what each workspace used, window by window."""
