--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with their baselines in the same run."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that can be run."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
@@ -19,6 +19,7 @@
 
 MAX_HEADER_BYTES = 65_536
 BACKLOG = 256
+KEPT_CONNECTIONS = 1024
 
 
 class Server(wsgi.Server):
@@ -57,6 +58,7 @@
         timeout=IDLE_TIMEOUT,
         shutdown_timeout=1,
     )
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
     server.max_request_header_size = MAX_HEADER_BYTES
     try:
         server.prepare()
--- a/tests/cluster.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/cluster.py
@@ -1,4 +1,7 @@
-"""Starts daemons and stand-ins as separate processes for tests."""
+"""Starts daemons and stand-ins as separate processes.
+
+For tests, benchmarks and the demo; nothing of the product uses it.
+"""
 
 from collections.abc import Iterator
 import contextlib
@@ -18,11 +21,14 @@
 from chestnutshunt.platform import client
 from chestnutshunt.platform import http_client
 
+__all__ = ['Cluster', 'Daemon', 'Process', 'Standin', 'cluster']
+
 HTTP = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=128)
 START_LIMIT = 30.0
 
 
 def free_port():
+    """Return a port that is free at this moment."""
     with socket.socket() as probe:
         probe.bind(('127.0.0.1', 0))
         return probe.getsockname()[1]
@@ -43,6 +49,7 @@
     """One child process, ended by its own id."""
 
     def __init__(self, arguments, log_path):
+        """Start a module with its output in a file."""
         self.log_path = log_path
         with open(log_path, 'ab') as log:
             self.child = subprocess.Popen(
@@ -50,22 +57,28 @@
             )
 
     def kill(self):
+        """Kill the process and wait for its end."""
         self.child.kill()
         self.child.wait(10)
 
     def freeze(self):
+        """Stop the process without ending it."""
         os.kill(self.child.pid, signal.SIGSTOP)
 
     def thaw(self):
+        """Let a frozen process go on."""
         os.kill(self.child.pid, signal.SIGCONT)
 
     def terminate(self):
+        """Ask the process to end."""
         self.child.terminate()
 
     def ended(self):
+        """Tell whether the process has ended."""
         return self.child.poll() is not None
 
     def close(self):
+        """End the process if it still runs."""
         if not self.ended():
             with contextlib.suppress(ProcessLookupError):
                 self.thaw()
@@ -77,6 +90,7 @@
     """A stand-in with its HTTP interface."""
 
     def __init__(self, module, folder, name, *arguments):
+        """Start a stand-in and wait until it answers."""
         self.port = free_port()
         self.name = name
         self.address = f'127.0.0.1:{self.port}'
@@ -89,14 +103,17 @@
         wait_until(self.answers, f'{name} answers')
 
     def answers(self):
+        """Tell whether the stand-in answers."""
         with contextlib.suppress(urllib3.exceptions.HTTPError):
             return HTTP.request('GET', self.url + '/log').status == 200
         return False
 
     def fault(self, **faults):
+        """Switch faults on or off."""
         HTTP.request('POST', self.url + '/faults', body=json.dumps(faults))
 
     def log(self, event=None):
+        """Return what really happened, or one kind of event."""
         entries = HTTP.request('GET', self.url + '/log').json()
         return [e for e in entries if event in (None, e['event'])]
 
@@ -105,6 +122,7 @@
     """A chestnutshunt daemon with its admin interface."""
 
     def __init__(self, cluster, name, datacentre, seeds, **overrides):
+        """Write the settings file and start the daemon."""
         ports = [free_port() for _ in range(3)]
         self.name = name
         self.caller, self.peer, self.admin = (
@@ -132,30 +150,38 @@
         )
 
     def get(self, path):
+        """Ask the admin interface."""
         return HTTP.request('GET', f'http://{self.admin}{path}')
 
     def ready(self):
+        """Tell whether the daemon is ready for callers."""
         with contextlib.suppress(urllib3.exceptions.HTTPError):
             return self.get('/readyz').status == 200
         return False
 
     def dump(self):
+        """Return the daemon's state."""
         return self.get('/dump').json()
 
     def live_peers(self):
+        """Return the names of the peers that it hears."""
         return {p['name'] for p in self.dump()['peers'] if p['live']}
 
     def arm(self, step):
+        """Hold the daemon at a named point."""
         self.get(f'/steps/{step}?action=arm')
 
     def release(self, step):
+        """Let the daemon go on from a named point."""
         self.get(f'/steps/{step}?action=release')
 
     def wait_step(self, step):
+        """Wait until the daemon is held at a point."""
         reply = self.get(f'/steps/{step}?timeout=20').json()
         assert reply['reached'], f'{self.name} never reached {step}'
 
     def call(self, path, body=b'', key='', headers=None, method='POST'):
+        """Send a request as a caller."""
         sent = dict(headers or {})
         if key:
             sent['Authorization'] = f'Bearer {key}'
@@ -168,6 +194,7 @@
     """A platform, targets and daemons in a folder."""
 
     def __init__(self, folder: pathlib.Path, stack: contextlib.ExitStack):
+        """Start the platform."""
         self.folder = folder
         self.stack = stack
         self.platform = self.standin('platform', 'platform')
@@ -177,11 +204,13 @@
         self.daemons = []
 
     def standin(self, module, name, *arguments):
+        """Start a stand-in that ends with the cluster."""
         made = Standin(module, self.folder, name, *arguments)
         self.stack.callback(made.close)
         return made
 
     def target(self, module, service, datacentre, name, **fields):
+        """Start a stand-in and list it as a target."""
         made = self.standin(module, name, '--name', name)
         value = {
             'service': service,
@@ -194,6 +223,7 @@
         return made
 
     def daemon(self, name, datacentre='marmara-a', **overrides):
+        """Start a daemon that knows the earlier ones as seeds."""
         seeds = [item.peer for item in self.daemons]
         made = Daemon(self, name, datacentre, seeds, **overrides)
         self.stack.callback(made.close)
@@ -201,6 +231,7 @@
         return made
 
     def wait_ready(self):
+        """Wait until all daemons are ready and hear each other."""
         for item in self.daemons:
             wait_until(item.ready, f'{item.name} is ready')
         names = {item.name for item in self.daemons}
@@ -212,6 +243,7 @@
         self.wait_config()
 
     def wait_config(self):
+        """Wait until all daemons have the newest revision."""
         revision = self.client.list_objects(['config']).unwrap().revision
         for item in self.daemons:
             wait_until(
@@ -220,10 +252,12 @@
             )
 
     def workspace(self, name, **settings):
+        """Create a workspace; return a key of it."""
         self.editor.set(f'workspaces/{name}', settings)
         return self.key(name)
 
     def key(self, workspace):
+        """Create a key; return its token."""
         made = credential.Credential.create(workspace)
         self.editor.set(
             f'workspaces/{workspace}/keys/{made.key_id}',
@@ -234,11 +268,13 @@
 
 @contextlib.contextmanager
 def cluster(folder) -> Iterator[Cluster]:
+    """Run a cluster until the context ends."""
     with contextlib.ExitStack() as stack:
         yield Cluster(pathlib.Path(folder), stack)
 
 
 def to_toml(values):
+    """Return a flat table as TOML."""
     return ''.join(
         f'{name} = {json.dumps(value)}\n' for name, value in values.items()
     )
--- a/tests/faults/conftest.py
+++ b/tests/faults/conftest.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tests import cluster
+from chestnutshunt_standins import cluster
 
 
 @pytest.fixture(scope='module')
--- a/tests/faults/test_limits.py
+++ b/tests/faults/test_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests import cluster
+from chestnutshunt_standins import cluster
 
 LIMIT = 12
 
--- a/tests/faults/test_once.py
+++ b/tests/faults/test_once.py
@@ -9,7 +9,7 @@
 from chestnutshunt.attempts import identity
 from chestnutshunt.ledger import ledger
 from chestnutshunt.routing import rendezvous
-from tests import cluster
+from chestnutshunt_standins import cluster
 
 STEPS = [
     'once.started',
--- a/tests/faults/test_requests.py
+++ b/tests/faults/test_requests.py
@@ -7,8 +7,8 @@
 import pytest
 import urllib3
 
+from chestnutshunt_standins import cluster
 from chestnutshunt_standins import engine
-from tests import cluster
 from tests import silent_link
 
 MODEL = '/s/model/v1/generate'
--- a/tests/faults/test_rollouts.py
+++ b/tests/faults/test_rollouts.py
@@ -6,8 +6,8 @@
 
 from chestnutshunt.rollout import sample_id
 from chestnutshunt.routing import rendezvous
+from chestnutshunt_standins import cluster
 from chestnutshunt_standins import engine
-from tests import cluster
 
 RUN = 'coats'
 BOUND = 2
--- a/tests/faults/test_targets.py
+++ b/tests/faults/test_targets.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from chestnutshunt_standins import cluster
 from chestnutshunt_standins import engine
-from tests import cluster
 
 MODEL = '/s/model/v1/generate'
 
--- a/tests/faults/test_usage_reports.py
+++ b/tests/faults/test_usage_reports.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests import cluster
+from chestnutshunt_standins import cluster
 
 STEPS = [
     'usage.before_freeze',
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests import cluster
+from chestnutshunt_standins import cluster
 
 
 @pytest.fixture(scope='module')
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from chestnutshunt_standins import cluster
 from chestnutshunt_standins import engine
-from tests import cluster
 
 
 @pytest.fixture(scope='module')
