--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
@@ -1,9 +1,12 @@
 """WSGI application for callers."""
 
 from collections.abc import Callable
+from collections.abc import Generator
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+import errno
+import itertools
 import json
 import logging
 from typing import Any
@@ -44,6 +47,7 @@
     413: 'Content Too Large',
     422: 'Unprocessable Content',
     429: 'Too Many Requests',
+    500: 'Internal Server Error',
     502: 'Bad Gateway',
     503: 'Service Unavailable',
     504: 'Gateway Timeout',
@@ -72,8 +76,12 @@
             try:
                 parts = self.parts(environ)
                 head = next(parts)
+                first = next(parts, b'')
             except errors.ChestnutshuntError as exc:
                 return self.refuse(environ, start_response, exc)
+            except Exception:
+                LOG.exception('Request %s', environ['chestnutshunt.id'])
+                return self.refuse(environ, start_response, unexpected())
             stack.callback(parts.close)
             start_response(
                 f'{head.status} {REASONS.get(head.status, "Status")}',
@@ -82,7 +90,8 @@
                     ('X-Request-Id', environ['chestnutshunt.id']),
                 ],
             )
-            return Body(parts, stack.pop_all())
+            body = itertools.chain([first], parts)
+            return Body(body, stack.pop_all())
 
     def refuse(
         self,
@@ -246,23 +255,58 @@
         """Run a request and publish its answer for resends."""
         if once:
             steps.reach('once.started')
-        failure: errors.ChestnutshuntError | None = errors.OutcomeUnknown(
-            'The answer was not finished.'
-        )
         chosen: execution.Execution | None = None
+        parts: Generator[execution.Part] = (x for x in ())
         try:
             chosen = self.make_execution(request, given, running, once)
-            yield from publish(chosen.parts(), running)
-            failure = None
+            parts = chosen.parts()
+            for part in parts:
+                keep(part, running)
+                yield part
+            running.finish(self.held.clock.monotonic())
         except errors.ChestnutshuntError as exc:
-            exc.ran = exc.ran or (chosen.reached() if chosen else None)
-            failure = exc
+            self.fail(running, chosen, exc)
+            raise
+        except GeneratorExit:
+            if running.identity:
+                self.run_on(parts, running, chosen)
             raise
         finally:
-            running.finish(self.held.clock.monotonic(), failure)
+            parts.close()
+            if not running.done:
+                lost = errors.OutcomeUnknown('The answer was not finished.')
+                running.finish(self.held.clock.monotonic(), lost)
             if running.identity:
                 self.held.attempts.close(running)
 
+    def run_on(
+        self,
+        parts: Iterator[execution.Part],
+        running: attempt.Attempt,
+        chosen: execution.Execution,
+    ) -> None:
+        """Run a request to its end though its caller has gone.
+
+        A resend then finds the answer. Only requests with an identity are
+        run on; any other is cancelled.
+        """
+        try:
+            for part in parts:
+                keep(part, running)
+            running.finish(self.held.clock.monotonic())
+        except errors.ChestnutshuntError as exc:
+            self.fail(running, chosen, exc)
+
+    def fail(
+        self,
+        running: attempt.Attempt,
+        chosen: execution.Execution | None,
+        error: errors.ChestnutshuntError,
+    ) -> None:
+        """Publish the failure of a request, and how far it had got."""
+        error.ran = error.ran or (chosen.reached() if chosen else None)
+        running.finish(self.held.clock.monotonic(), error)
+
     def make_execution(
         self,
         request: caller_request.CallerRequest,
@@ -290,37 +334,23 @@
         self.stack = stack
 
     def __iter__(self) -> Iterator[bytes]:
-        """Yield the body; an error cuts the answer off visibly."""
-        for chunk in self.parts:
-            steps.reach('answer.passing')
-            yield chunk
+        """Yield the body; an error cuts the answer off visibly.
+
+        The server closes a connection that is reset without ending the body.
+        """
+        try:
+            for chunk in self.parts:
+                steps.reach('answer.passing')
+                yield chunk
+        except errors.ChestnutshuntError as exc:
+            LOG.warning('Answer cut off: %s', exc)
+            raise ConnectionResetError(errno.ECONNRESET, str(exc)) from exc
 
     def close(self) -> None:
         """End the request and count it out."""
         self.stack.close()
 
 
-def publish(
-    parts: Iterator[execution.Part], running: attempt.Attempt
-) -> Iterator[execution.Part]:
-    """Pass an answer on and keep it for resends.
-
-    If the caller goes away, a request with an identity runs to its end, so
-    that a resend finds the answer; any other is cancelled.
-    """
-    try:
-        for part in parts:
-            keep(part, running)
-            yield part
-    except GeneratorExit:
-        if running.identity:
-            for part in parts:
-                keep(part, running)
-        raise
-    finally:
-        parts.close()
-
-
 def keep(part: execution.Part, running: attempt.Attempt) -> None:
     """Add a part of the answer to what resends are given."""
     if isinstance(part, answer_head.AnswerHead):
@@ -329,6 +359,13 @@
         running.add(part)
 
 
+def unexpected() -> errors.ChestnutshuntError:
+    """Return the error of a fault in the daemon itself."""
+    error = errors.ChestnutshuntError('The daemon failed.')
+    error.ran = progress.Progress.MAY_HAVE_RUN
+    return error
+
+
 def raise_error(error: errors.ChestnutshuntError) -> Any:
     """Raise an error that a result holds."""
     raise error
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
@@ -28,8 +28,11 @@
     def error_log(
         self, msg: str = '', level: int = 20, traceback: bool = False
     ) -> None:
-        """Log a message of the server."""
-        LOG.debug('%s', msg, exc_info=traceback)
+        """Log a message of the server, and fully what it did not expect."""
+        if traceback:
+            LOG.error('%s', msg, exc_info=True)
+        else:
+            LOG.debug('%s', msg)
 
 
 @contextlib.contextmanager
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/cluster.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/cluster.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -25,13 +26,27 @@
 
 HTTP = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=128)
 START_LIMIT = 30.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
+PORTS = itertools.cycle(
+    range(FIRST_PORT + os.getpid() * 37 % 20_000, LAST_PORT)
+)
 
 
 def free_port():
-    """Return a port that is free at this moment."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens on.
+
+    Ports below the range from which outgoing connections take theirs are
+    handed out in turn, so that none is taken before it is used.
+    """
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_until(test, what, limit=START_LIMIT):
@@ -202,6 +217,7 @@
         self.client = http_client.HttpClient(self.platform_url)
         self.editor = editor.Editor(self.client)
         self.daemons = []
+        self.targets = []
 
     def standin(self, module, name, *arguments):
         """Start a stand-in that ends with the cluster."""
@@ -209,9 +225,10 @@
         self.stack.callback(made.close)
         return made
 
-    def target(self, module, service, datacentre, name, **fields):
+    def target(self, module, service, datacentre, name, *arguments, **fields):
         """Start a stand-in and list it as a target."""
-        made = self.standin(module, name, '--name', name)
+        made = self.standin(module, name, '--name', name, *arguments)
+        self.targets.append(made)
         value = {
             'service': service,
             'address': made.address,
@@ -247,7 +264,9 @@
         revision = self.client.list_objects(['config']).unwrap().revision
         for item in self.daemons:
             wait_until(
-                lambda d=item: d.dump()['config']['revision'] >= revision,
+                lambda d=item: (
+                    d.ended() or d.dump()['config']['revision'] >= revision
+                ),
                 f'{item.name} has revision {revision}',
             )
 
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/engine.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/engine.py
@@ -26,6 +26,8 @@
 class EngineApplication(http.Application):
     """Streams tokens as JSON lines, each with the version that made it.
 
+    Above ``slots`` streams at one time a token takes longer in proportion.
+
     Faults: ``token_time`` (s a token), ``crash_on`` (text in a prompt that
     ends the process), ``cut_after`` (tokens until a stream breaks off),
     ``stall_after`` (tokens until a stream falls silent), ``swap_fails``,
@@ -33,11 +35,14 @@
     ``prefill_time`` (s for a prompt whose prefix is not cached).
     """
 
-    def __init__(self, name: str, token_time: float, version: int) -> None:
+    def __init__(
+        self, name: str, token_time: float, version: int, slots: int
+    ) -> None:
         super().__init__()
         self.name = name
         self.version = version
         self.token_time = token_time
+        self.slots = slots
         self.fence = 0
         self.in_flight = 0
         self.tokens = 0
@@ -122,17 +127,18 @@
             time.sleep(0.005)
         pause = float(self.faults.get('token_time', self.token_time))
         if pause:
-            time.sleep(pause)
+            time.sleep(pause * max(self.in_flight / self.slots, 1.0))
 
 
 if __name__ == '__main__':
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--name', default='engine')
     parser.add_argument('--token-time', type=float, default=0.002)
+    parser.add_argument('--slots', type=int, default=64)
     parser.add_argument('--version', type=int, default=1)
     http.main(
         lambda args: EngineApplication(
-            args.name, args.token_time, args.version
+            args.name, args.token_time, args.version, args.slots
         ),
         parser,
         threads=128,
--- a/tests/faults/test_once.py
+++ b/tests/faults/test_once.py
@@ -207,3 +207,27 @@
     )
     assert order(two, pair, name) == 'ran'
     assert runs_of(pair, name) == 1
+
+
+def test_caller_that_goes_away_leaves_a_whole_answer(pair):
+    """A resend is given the answer that its first caller did not wait for."""
+    one, two = pair.daemons
+    name = name_with_home('one')
+    one.arm('answer.passing')
+    headers = {
+        'Idempotency-Key': name,
+        'Authorization': f'Bearer {pair.token}',
+    }
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        cluster.HTTP.request(
+            'POST',
+            f'http://{one.caller}/s/orders/orders',
+            body=name.encode(),
+            headers=headers,
+            timeout=0.3,
+        )
+    one.wait_step('answer.passing')
+    one.release('answer.passing')
+    assert order(two, pair, name) == 'ran'
+    assert order(one, pair, name) == 'ran'
+    assert runs_of(pair, name) == 1
