--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
@@ -5,7 +5,9 @@
 import contextlib
 import logging
 import threading
+from typing import Any
 
+from cheroot import server
 from cheroot import wsgi
 
 from chestnutshunt import errors
@@ -18,13 +20,41 @@
 """Seconds a connection may be silent before a request or within one."""
 
 MAX_HEADER_BYTES = 65_536
+MAX_BODY_BYTES = 67_108_864
+"""Largest body any service may allow; a larger one is never read."""
+
 BACKLOG = 256
 KEPT_CONNECTIONS = 1024
 
 
+class HeaderReader(server.HeaderReader):
+    """Refuses a first header line that continues none."""
+
+    def __call__(self, rfile: Any, hdict: dict | None = None) -> dict:
+        """Read header lines; a `ValueError` is answered by status 400."""
+        try:
+            return super().__call__(rfile, hdict)
+        except UnboundLocalError as exc:
+            raise ValueError('The first header line is indented.') from exc
+
+
+class Request(server.HTTPRequest):
+    """A request whose headers are read by `HeaderReader`."""
+
+    header_reader = HeaderReader()
+
+
+class Connection(server.HTTPConnection):
+    """A connection that carries such requests."""
+
+    RequestHandlerClass = Request
+
+
 class Server(wsgi.Server):
     """Sends the server's own messages to the log."""
 
+    ConnectionClass = Connection
+
     def error_log(
         self, msg: str = '', level: int = 20, traceback: bool = False
     ) -> None:
@@ -53,7 +83,7 @@
         Setting that holds the address, for the error.
     """
     host, _, port = address.rpartition(':')
-    server = Server(
+    made = Server(
         (host, int(port)),
         application,
         numthreads=threads,
@@ -61,10 +91,11 @@
         timeout=IDLE_TIMEOUT,
         shutdown_timeout=1,
     )
-    server.keep_alive_conn_limit = KEPT_CONNECTIONS
-    server.max_request_header_size = MAX_HEADER_BYTES
+    made.keep_alive_conn_limit = KEPT_CONNECTIONS
+    made.max_request_body_size = MAX_BODY_BYTES
+    made.max_request_header_size = MAX_HEADER_BYTES
     try:
-        server.prepare()
+        made.prepare()
     except OSError as exc:
         raise errors.BadSetting(
             'settings',
@@ -73,10 +104,10 @@
             'cannot be listened on',
             'Choose an address that is free on this VM.',
         ) from exc
-    thread = threading.Thread(target=server.serve, name=name, daemon=True)
+    thread = threading.Thread(target=made.serve, name=name, daemon=True)
     thread.start()
     try:
-        yield server
+        yield made
     finally:
-        server.stop()
+        made.stop()
         thread.join(2)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/log_format.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/log_format.py
@@ -59,3 +59,5 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    # One stack trace for each malformed message of a peer would be too many.
+    logging.getLogger('grpc._common').setLevel(logging.CRITICAL)
--- a/tests/silent_link.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/silent_link.py
@@ -5,10 +5,14 @@
 import threading
 
 
+__all__ = ['SilentLink']
+
+
 class SilentLink:
     """Forwards connections; new ones work while old ones are silenced."""
 
     def __init__(self, target):
+        """Listen, and forward to a target."""
         host, _, port = target.rpartition(':')
         self.target = (host, int(port))
         self.listener = socket.create_server(('127.0.0.1', 0))
@@ -19,6 +23,7 @@
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
+        """Accept connections until the listener is closed."""
         with contextlib.suppress(OSError):
             while True:
                 one, _ = self.listener.accept()
@@ -37,6 +42,7 @@
                     ).start()
 
     def forward(self, source, sink):
+        """Pass bytes on in one direction."""
         with contextlib.suppress(OSError):
             while data := source.recv(65536):
                 if source in self.silenced:
@@ -62,9 +68,11 @@
         self.pairs.clear()
 
     def heal(self):
+        """Take new connections again."""
         self.refusing = False
 
     def close(self):
+        """Close the listener and all connections."""
         self.refusing = True
         self.listener.close()
         self.cut()
--- a/tests/faults/test_requests.py
+++ b/tests/faults/test_requests.py
@@ -9,7 +9,7 @@
 
 from chestnutshunt_standins import cluster
 from chestnutshunt_standins import engine
-from tests import silent_link
+from chestnutshunt_standins import silent_link
 
 MODEL = '/s/model/v1/generate'
 
