Let a daemon use what the others leave of a service

Cause: each daemon had a fixed even part of the targets' concurrency, and all samples of a run are made by one daemon, which had 7 of 40 slots while others stood idle. Ruled out: the engines (not full) and the limits (none set).

A daemon may now have in flight what it has plus its even part of what nobody uses, by its own and the peers' counts.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -95,7 +95,11 @@
         return self.running.state
 
     def slots(self) -> int:
-        """Return this daemon's share of what the targets can take on."""
+        """Return how many requests this daemon may have in flight.
+
+        That is its even part of what the targets can take on, or what it has
+        now and its even part of what nobody uses, whichever is more.
+        """
         running = [
             item
             for item in self.held.targets(self.request.service)
@@ -103,7 +107,10 @@
         ]
         daemons = len(self.held.directory.live())
         total = len(running) * self.request.settings.target_concurrency
-        return max(-(-total // daemons), 1)
+        used = sum(self.held.loads.in_flight(x.name) for x in running)
+        own = sum(self.held.loads.of(x.name).own for x in running)
+        unused = max(total - used, 0)
+        return max(-(-total // daemons), own + unused // daemons, 1)
 
     def cost(self) -> float:
         """Return the request's expected cost for the fair queue."""
