Check the key of a caller that joined a stream

Found by reading: a resend that joins a running request was checked when it came, but its stream went on after its key was withdrawn, since only the first caller's key was looked at. test_withdrawn_key_ends_a_joined_stream failed so and passes now; the first caller's stream goes on.

Also by reading: a claim now outlives the deadline of its request by a minute, whatever once_window_s is. With a window shorter than the timeout, a runner paused past the window could have run what had been claimed anew.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
@@ -208,21 +208,29 @@
         if fresh:
             yield from self.run(request, given, running, once)
             return
-        yield from self.join(request, running)
+        yield from self.join(request, given, running)
 
     def join(
         self,
         request: caller_request.CallerRequest,
+        given: grant.Grant,
         running: attempt.Attempt,
     ) -> Iterator[execution.Part]:
-        """Yield the answer of a request that runs, or ran, here."""
+        """Yield the answer of a request that runs, or ran, here.
+
+        The joining caller's own key is checked for each part, since it need
+        not be the one that the request was begun with.
+        """
         if running.body != request.body:
             raise once_execution.identity_reused()
         self.held.metrics.joined.labels(request.service).inc()
         remaining = request.deadline - self.held.clock.monotonic()
         try:
             yield running.wait_head(remaining)
-            yield from running.follow(remaining)
+            for chunk in running.follow(remaining):
+                if not self.held.keys.in_force(given):
+                    raise errors.Unauthorized('The key was withdrawn.')
+                yield chunk
         except errors.ChestnutshuntError as exc:
             exc.ran = exc.ran or progress.Progress.MAY_HAVE_RUN
             raise
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/once_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/once_execution.py
@@ -21,6 +21,9 @@
 
 LOG = logging.getLogger(__name__)
 
+CLAIM_MARGIN = 60.0
+"""Seconds a claim outlives the deadline of its request, at least."""
+
 CLAIM_TIMEOUT = 2.0
 """Seconds for a claim made by the home of the shard."""
 
@@ -100,8 +103,15 @@
         return outcome.held
 
     def make_entry(self, nonce: str) -> entry.Entry:
-        """Return this execution's claim."""
-        window = self.request.settings.once_window_s
+        """Return this execution's claim.
+
+        It outlives the deadline, after which the request is not sent, so that
+        a runner that was paused cannot run what has been claimed anew.
+        """
+        remaining = self.request.deadline - self.held.clock.monotonic()
+        window = max(
+            self.request.settings.once_window_s, remaining + CLAIM_MARGIN
+        )
         return entry.Entry(
             identity=self.running.identity,
             nonce=nonce,
@@ -156,16 +166,24 @@
         """Yield the answer of the execution that holds the claim."""
         self.running.advance(progress.Progress.MAY_HAVE_RUN)
         remaining = self.request.deadline - self.held.clock.monotonic()
-        if other.owner != self.held.own.owner:
-            yield from remote_answer.parts(self.held.peers, other, remaining)
-            self.running.advance(progress.Progress.RAN)
-            return
+        if other.owner == self.held.own.owner:
+            parts = self.local_parts(other, remaining)
+        else:
+            parts = remote_answer.parts(self.held.peers, other, remaining)
+        for part in parts:
+            self.check_key()
+            yield part
+        self.running.advance(progress.Progress.RAN)
+
+    def local_parts(
+        self, other: entry.Entry, timeout: float
+    ) -> Iterator[execution.Part]:
+        """Yield the answer of another execution of this daemon."""
         local = self.held.attempts.find(other.identity, other.nonce)
         if local is None or local is self.running:
             raise errors.OutcomeUnknown('The answer is no longer kept.')
-        yield local.wait_head(remaining)
-        yield from local.follow(remaining)
-        self.running.advance(progress.Progress.RAN)
+        yield local.wait_head(timeout)
+        yield from local.follow(timeout)
 
 
 def identity_reused() -> errors.BadRequest:
--- a/tests/faults/test_requests.py
+++ b/tests/faults/test_requests.py
@@ -109,12 +109,12 @@
             )
 
 
-def open_stream(daemon, token, count):
+def open_stream(daemon, token, count, **headers):
     return cluster.HTTP.request(
         'POST',
         f'http://{daemon.caller}{MODEL}',
         body=body_of('long', count),
-        headers={'Authorization': f'Bearer {token}'},
+        headers={'Authorization': f'Bearer {token}', **headers},
         preload_content=False,
     )
 
@@ -135,6 +135,28 @@
                 pass
 
 
+def test_withdrawn_key_ends_a_joined_stream(model):
+    """The key of the caller that joined counts, not that of the first."""
+    for item in model.engines:
+        item.fault(token_time=0.02)
+    key = model.key('counter')
+    model.wait_config()
+    identity = {'Idempotency-Key': 'shared'}
+    first = open_stream(model.daemons[0], model.token, 400, **identity)
+    first_parts = first.stream()
+    first_part = next(first_parts)
+    joined = open_stream(model.daemons[0], key, 400, **identity).stream()
+    assert next(joined)
+    path = f'workspaces/counter/keys/{key.rsplit(".", 2)[1]}'
+    model.editor.set(path, {'withdrawn': True})
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        for _ in joined:
+            pass
+    rest = first_part + b''.join(first_parts)
+    assert b'"done": true' in rest
+    assert sum(len(e.log('generate')) for e in model.engines) == 1
+
+
 def test_withdrawn_key_on_a_kept_connection(model):
     key = model.key('counter')
     model.wait_config()
