--- a/packages/chestnutshunt-cli/chestnutshunt_cli/exit_codes.py
+++ b/packages/chestnutshunt-cli/chestnutshunt_cli/exit_codes.py
@@ -1,8 +1,13 @@
 """Exit codes of the command line."""
 
 import enum
+import functools
 
-__all__ = ['ExitCode']
+import urllib3
+
+from chestnutshunt import errors
+
+__all__ = ['ExitCode', 'exit_code_of']
 
 
 class ExitCode(enum.IntEnum):
@@ -14,3 +19,31 @@
     CONFLICT = 3
     UNREACHABLE = 4
     DIFFERENT = 5
+
+
+@functools.singledispatch
+def exit_code_of(error: Exception) -> ExitCode:
+    """Return the exit code that goes with an error."""
+    return ExitCode.FAILED
+
+
+@exit_code_of.register(errors.ConfigConflict)
+def exit_code_of_conflict(error: Exception) -> ExitCode:
+    """Return the exit code of a lost race."""
+    return ExitCode.CONFLICT
+
+
+@exit_code_of.register(errors.PlatformUnavailable)
+@exit_code_of.register(errors.PlatformUncertain)
+@exit_code_of.register(urllib3.exceptions.HTTPError)
+def exit_code_of_silence(error: Exception) -> ExitCode:
+    """Return the exit code of something that does not answer."""
+    return ExitCode.UNREACHABLE
+
+
+@exit_code_of.register(errors.BadRequest)
+@exit_code_of.register(errors.BadSetting)
+@exit_code_of.register(errors.RouteUnknown)
+def exit_code_of_refusal(error: Exception) -> ExitCode:
+    """Return the exit code of input that was refused."""
+    return ExitCode.REFUSED
--- a/packages/chestnutshunt-cli/chestnutshunt_cli/main.py
+++ b/packages/chestnutshunt-cli/chestnutshunt_cli/main.py
@@ -320,29 +320,13 @@
     return headers
 
 
-def exit_code(error: Exception) -> exit_codes.ExitCode:
-    """Return the exit code of an error."""
-    match error:
-        case errors.ConfigConflict():
-            return exit_codes.ExitCode.CONFLICT
-        case errors.PlatformUnavailable() | errors.PlatformUncertain():
-            return exit_codes.ExitCode.UNREACHABLE
-        case urllib3.exceptions.HTTPError():
-            return exit_codes.ExitCode.UNREACHABLE
-        case errors.BadSetting() | errors.BadRequest():
-            return exit_codes.ExitCode.REFUSED
-        case errors.RouteUnknown():
-            return exit_codes.ExitCode.REFUSED
-    return exit_codes.ExitCode.FAILED
-
-
 def main() -> None:
     """Run the command that the arguments name."""
     try:
         app()
     except (errors.ChestnutshuntError, urllib3.exceptions.HTTPError) as exc:
         print(f'chestnutshunt: {exc}', file=sys.stderr)
-        sys.exit(exit_code(exc))
+        sys.exit(exit_codes.exit_code_of(exc))
 
 
 if __name__ == '__main__':
