Let far daemons without a link not hold up stops

Found by reading: a target was stopped only once every listed daemon had been heard, but between two data centres only two daemons each are linked, so that from three daemons a data centre on no target would ever have been stopped. Only daemons of the target's own data centre now count.

The demo ends cleanly on Ctrl-C and SIGTERM, also when sent twice; its children no longer get the terminal's signal themselves.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -337,12 +337,15 @@
 
 
 def interrupt(number: int, frame: FrameType | None) -> None:
-    """End the demo as Ctrl-C does."""
+    """End the demo once, whatever else is sent meanwhile."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     raise KeyboardInterrupt
 
 
 def main() -> None:
     """Run the demo; the exit code is 1 if a bound did not hold."""
+    signal.signal(signal.SIGINT, interrupt)
     signal.signal(signal.SIGTERM, interrupt)
     table = measure_table.MeasureTable()
     began = time.monotonic()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet_controller.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet_controller.py
@@ -136,11 +136,16 @@
         return self.says_idle(leaving)
 
     def silent_daemons(self) -> list[str]:
-        """Return daemons that may still send to targets, unheard."""
+        """Return daemons of this data centre that are unheard.
+
+        Of other data centres only some daemons are linked to this one. The
+        rest hear of a leaving target by the tree's relays.
+        """
         return [
             item.peer.name
             for item in self.held.directory.known()
-            if not self.held.directory.is_live(item)
+            if item.peer.datacentre == self.held.own.datacentre
+            and not self.held.directory.is_live(item)
             and not self.held.has_ended(item.peer.owner)
         ]
 
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/cluster.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/cluster.py
@@ -68,7 +68,10 @@
         self.log_path = log_path
         with open(log_path, 'ab') as log:
             self.child = subprocess.Popen(
-                [sys.executable, '-m', *arguments], stdout=log, stderr=log
+                [sys.executable, '-m', *arguments],
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
             )
 
     def kill(self):
