Find coordinators and tallies of daemons without a link

Cause: a trainer's call and the usage reporter asked only daemons that were heard. Between two data centres only two daemons each are linked, so that with three or more a data centre some daemons never found a run's coordinator, and what they counted was reported only if its copy lay at a linked one.

All listed daemons are now asked that are not known to have ended, the coordinator that answered last first. Unused functions are removed.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
@@ -92,6 +92,7 @@
         self.usage: Any = None
         self.limits: Any = None
         self.coordinators: dict[str, Any] = {}
+        self.last_coordinator: dict[str, str] = {}
         self.queues: dict[str, fair_queue.FairQueue] = {}
         self.budgets: dict[tuple[str, str], retry_budget.RetryBudget] = {}
         self.lock = threading.Lock()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/run_api.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/run_api.py
@@ -91,7 +91,9 @@
         for cut_off in (False, True):
             for candidate in candidates(held, call.run):
                 try:
-                    return ask(held, candidate, call, cut_off, deadline)
+                    data = ask(held, candidate, call, cut_off, deadline)
+                    held.last_coordinator[call.run] = candidate.name
+                    return data
                 except errors.NotReady as exc:
                     failure = exc.message
                 except errors.NotHolder:
@@ -102,9 +104,25 @@
 
 
 def candidates(held: node.Node, run: str) -> list[member.Member]:
-    """Return the live daemons, the likeliest coordinator first."""
-    by_name = {item.name: item for item in held.directory.live()}
-    return [by_name[x] for x in rendezvous.rank(f'run/{run}', by_name)]
+    """Return the daemons to ask, the likeliest coordinator first.
+
+    That is the one that answered last, then the live ones, then those that
+    are listed but have no link to this one.
+    """
+    live = {item.name: item for item in held.directory.live()}
+    unheard = {
+        item.peer.name: item.peer
+        for item in held.directory.known()
+        if item.peer.name not in live and not held.has_ended(item.peer.owner)
+    }
+    key = f'run/{run}'
+    order = rendezvous.rank(key, live) + rendezvous.rank(key, unheard)
+    last = held.last_coordinator.get(run)
+    if last in order:
+        order.remove(last)
+        order.insert(0, last)
+    everyone = live | unheard
+    return [everyone[name] for name in order]
 
 
 def ask(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/usage_reporter.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/usage_reporter.py
@@ -113,12 +113,16 @@
         raise written.failure()
 
     def collect(self, window: int) -> None:
-        """Ask all known daemons for the tallies that they have."""
+        """Ask all daemons for the tallies that they have.
+
+        Daemons without a link to this one are asked as well; only those that
+        are known to have ended are not.
+        """
         oldest = window - frozen_window.LATE_WINDOWS
         asked = peer_pb2.TallyRequest(oldest_window=oldest)
         calls = []
         for sighting in self.held.directory.known():
-            if not self.held.directory.is_live(sighting):
+            if self.held.has_ended(sighting.peer.owner):
                 continue
             stub = self.held.peers.stub(sighting.peer.address)
             calls.append(stub.GetTallies.future(asked, timeout=ASK_TIMEOUT))
--- a/packages/chestnutshunt/chestnutshunt/membership/directory.py
+++ b/packages/chestnutshunt/chestnutshunt/membership/directory.py
@@ -114,16 +114,6 @@
         with self.lock:
             return list(self.sightings.values())
 
-    def find(self, owner: str) -> member.Member | None:
-        """Return a daemon by name and incarnation, if it is known."""
-        if owner == self.own.owner:
-            return self.own
-        with self.lock:
-            for held in self.sightings.values():
-                if held.peer.owner == owner:
-                    return held.peer
-        return None
-
     def home_of(self, key: str) -> member.Member:
         """Return the live daemon that is responsible for a key."""
         by_name = {item.name: item for item in self.live()}
--- a/packages/chestnutshunt/chestnutshunt/mirror/follower.py
+++ b/packages/chestnutshunt/chestnutshunt/mirror/follower.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 import logging
-import threading
 
 from returns import result
 
@@ -17,8 +16,6 @@
 WATCH_TIMEOUT = 20.0
 """Seconds until a watch is made again, so that a silent one is noticed."""
 
-RETRY_DELAY = 1.0
-
 
 class Follower:
     """Lists once, then watches; also lists again on request.
@@ -43,7 +40,6 @@
         self.target = target
         self.kinds = list(kinds)
         self.connected = False
-        self.stopped = threading.Event()
 
     def list_once(self) -> bool:
         """List all objects into the mirror; return True on success."""
@@ -73,7 +69,3 @@
                 self.connected = False
                 LOG.warning('Watch failed: %s', error)
         return False
-
-    def pause(self) -> None:
-        """Wait before another try."""
-        self.stopped.wait(RETRY_DELAY)
--- a/packages/chestnutshunt/chestnutshunt/mirror/mirror.py
+++ b/packages/chestnutshunt/chestnutshunt/mirror/mirror.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 import threading
 from typing import Any
 
@@ -145,10 +144,3 @@
         if len(self.tombstones) > MAX_TOMBSTONES:
             oldest = min(self.tombstones, key=self.tombstones.__getitem__)
             self.floor = max(self.floor, self.tombstones.pop(oldest))
-
-
-def latest(
-    objects: Iterable[stored_object.StoredObject],
-) -> stored_object.StoredObject | None:
-    """Return the object with the highest version, ``None`` if empty."""
-    return max(objects, key=lambda held: held.version, default=None)
