--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
@@ -125,8 +125,7 @@
 
     def may_retry(self, failure: target_error.TargetError) -> bool:
         """Allow a retry in mid-stream, since the stream is resumed."""
-        if self.held.quarantine.refuses(self.digest):
-            raise errors.Quarantined('This request has crashed targets.')
+        self.refuse_quarantined()
         return self.held.clock.monotonic() < self.request.deadline
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -71,8 +71,7 @@
         self.digest = identity.body_digest(
             self.request.service, self.request.path, self.request.body
         )
-        if self.held.quarantine.refuses(self.digest):
-            raise errors.Quarantined('This request has crashed targets.')
+        self.refuse_quarantined()
         queue = self.held.queue(self.request.service, self.slots())
         with contextlib.ExitStack() as stack:
             reserved = stack.enter_context(
@@ -90,6 +89,11 @@
             yield from self.try_targets()
             reserved.made = self.made()
 
+    def refuse_quarantined(self) -> None:
+        """Raise if the request has crashed too many targets."""
+        if self.held.quarantine.refuses(self.digest):
+            raise errors.Quarantined('This request has crashed targets.')
+
     def reached(self) -> progress.Progress:
         """Return what a refusal may truthfully say of the request."""
         return self.running.state
@@ -264,8 +268,7 @@
         """Tell whether another attempt is allowed and useful."""
         if self.running.head is not None:
             return False
-        if self.held.quarantine.refuses(self.digest):
-            raise errors.Quarantined('This request has crashed targets.')
+        self.refuse_quarantined()
         wait = failure.retry_after or 0.0
         return self.held.clock.monotonic() + wait < self.request.deadline
 
