--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -14,7 +14,7 @@
 
 import urllib3
 
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
 from chestnutshunt_cli import load
 from chestnutshunt_standins import cluster
 
@@ -57,7 +57,9 @@
         'address': address,
         'datacentre': 'marmara-a',
     }
-    made.client.put('target', f'{service}-1', value, client.ABSENT).unwrap()
+    made.client.put(
+        'target', f'{service}-1', value, object_store.ABSENT
+    ).unwrap()
     made.editor.set(
         f'services/{service}',
         {
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -18,7 +18,7 @@
 from chestnutshunt.rollout import sample_id
 from chestnutshunt.rollout import version_range
 from chestnutshunt.routing import target
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from chestnutshunt import system_clock
 from chestnutshunt.usage import count
 from chestnutshunt.usage import frozen_window
@@ -58,7 +58,7 @@
     """Measure writes and waits of claims made at one time."""
     waits, writes = [], []
     for callers in (1, 8, 32):
-        platform = memory_client.MemoryClient()
+        platform = memory_store.MemoryStore()
         original = platform.put
 
         def slow_put(*args, put=original):
@@ -91,7 +91,7 @@
     """Measure what a new home of a shard has to read."""
     seconds, megabytes, memory = [], [], []
     for size in (1_000, 5_000, 20_000):
-        platform = memory_client.MemoryClient()
+        platform = memory_store.MemoryStore()
         clock = system_clock.SystemClock()
         log = shard_log.ShardLog(platform, clock, 0)
         log.ensure_view()
--- a/examples/library_ledger.py
+++ b/examples/library_ledger.py
@@ -5,7 +5,7 @@
 
 from chestnutshunt.ledger import entry
 from chestnutshunt.ledger import ledger
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from chestnutshunt import system_clock
 
 __all__ = ['main']
@@ -13,7 +13,7 @@
 
 def main() -> None:
     """Claim an identity from two writers and print who may run it."""
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     clock = system_clock.SystemClock()
     for name in ('one', 'two'):
         book = ledger.Ledger(platform, clock)
--- a/packages/chestnutshunt-cli/chestnutshunt_cli/main.py
+++ b/packages/chestnutshunt-cli/chestnutshunt_cli/main.py
@@ -12,7 +12,8 @@
 from chestnutshunt.config import editor
 from chestnutshunt.config import schema
 from chestnutshunt import errors
-from chestnutshunt.store import http_client
+from chestnutshunt.store import adapter
+from chestnutshunt.store import object_store
 from chestnutshunt_cli import changes
 from chestnutshunt_cli import exit_codes
 from chestnutshunt_cli import load as load_module
@@ -40,7 +41,7 @@
     cyclopts.Parameter(
         name='--platform',
         env_var='CHESTNUTSHUNT_PLATFORM',
-        help='Base address of the platform.',
+        help="Base address of the platform's store.",
     ),
 ]
 AsJson = Annotated[bool, cyclopts.Parameter(name='--json', help='Print JSON.')]
@@ -66,7 +67,7 @@
     path : str
         Node, such as services/model; the root by default.
     """
-    found = operations.show(http_client.HttpClient(platform), path)
+    found = operations.show(adapter.connect(platform).store, path)
     fields = schema.allowed_fields(path)
     lines = []
     for name, item in sorted(found.items()):
@@ -81,7 +82,7 @@
 @app.command(name='list')
 def list_nodes(*, platform: Platform, as_json: AsJson = False) -> None:
     """List the nodes of the tree and what each overrides."""
-    held = editor.Editor(http_client.HttpClient(platform)).read()
+    held = editor.Editor(adapter.connect(platform).store).read()
     hidden = ('salt', 'digest')
     shown = {
         path: {k: v for k, v in item.values.items() if k not in hidden}
@@ -104,14 +105,14 @@
     """
     path = path.strip('/')
     table = dict(values.parse_assignment(path, x) for x in assignments)
-    made = editor.Editor(http_client.HttpClient(platform)).set(path, table)
+    made = editor.Editor(adapter.connect(platform).store).set(path, table)
     print(f'{made.path or "/"} is at version {made.version}')
 
 
 @app.command
 def unset(path: str, *names: str, platform: Platform) -> None:
     """Let a node inherit some settings again."""
-    tool = editor.Editor(http_client.HttpClient(platform))
+    tool = editor.Editor(adapter.connect(platform).store)
     made = tool.unset(path.strip('/'), list(names))
     print(f'{made.path or "/"} is at version {made.version}')
 
@@ -119,14 +120,14 @@
 @app.command
 def remove(path: str, *, platform: Platform) -> None:
     """Remove a node that no other refers to."""
-    editor.Editor(http_client.HttpClient(platform)).remove(path.strip('/'))
+    editor.Editor(adapter.connect(platform).store).remove(path.strip('/'))
     print(f'{path} is removed')
 
 
 @app.command
 def diff(file: str, *, platform: Platform, as_json: AsJson = False) -> None:
     """Show what a TOML file of nodes would change; exit code 5 if anything."""
-    held = editor.Editor(http_client.HttpClient(platform)).read()
+    held = editor.Editor(adapter.connect(platform).store).read()
     found = changes.find_changes(held, values.read_tree_file(file))
     emit(
         [attrs.asdict(item) for item in found],
@@ -141,7 +142,7 @@
 def apply(file: str, *, platform: Platform) -> None:
     """Make the nodes that a TOML file names equal to it."""
     wanted = values.read_tree_file(file)
-    found = operations.apply_nodes(http_client.HttpClient(platform), wanted)
+    found = operations.apply_nodes(adapter.connect(platform).store, wanted)
     for item in found:
         print(item.render())
     print(f'{len(found)} settings changed')
@@ -150,19 +151,30 @@
 @key_app.command(name='create')
 def create_key(workspace: str, *, platform: Platform) -> None:
     """Create a key and print it; it is shown only this once."""
-    token = operations.create_key(http_client.HttpClient(platform), workspace)
+    token = operations.create_key(adapter.connect(platform).store, workspace)
     print(token)
 
 
 @key_app.command(name='withdraw')
 def withdraw_key(workspace: str, key_id: str, *, platform: Platform) -> None:
     """Withdraw a key by its id, the part between the dots."""
-    operations.withdraw_key(
-        http_client.HttpClient(platform), workspace, key_id
-    )
+    operations.withdraw_key(adapter.connect(platform).store, workspace, key_id)
     print(f'{workspace}/{key_id} is withdrawn')
 
 
+@app.command
+def gone(name: str, *, platform: Platform) -> None:
+    """Mark the VM of a daemon as gone, so that nothing waits for it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the daemon that ran there.
+    """
+    operations.mark_gone(adapter.connect(platform).store, name)
+    print(f'{name} is marked as gone')
+
+
 @app.command
 def status(
     what: str = 'daemons', *, platform: Platform, as_json: AsJson = False
@@ -174,14 +186,14 @@
     what : str
         One of daemons, targets, leases, runs.
     """
-    client = http_client.HttpClient(platform)
+    store = adapter.connect(platform).store
     if what in operations.STATUS_KINDS:
-        held = operations.listed(client, operations.STATUS_KINDS[what])
+        held = operations.listed(store, operations.STATUS_KINDS[what])
         rows = {item.name: item.value for item in held}
     elif what == 'daemons':
-        rows = {m.name: daemon_row(m) for m in operations.members(client)}
+        rows = {m.name: daemon_row(m) for m in operations.members(store)}
     elif what == 'runs':
-        rows = run_rows(client)
+        rows = run_rows(store)
     else:
         raise errors.BadRequest(
             f'There is no status of {what!r}.',
@@ -207,13 +219,13 @@
     }
 
 
-def run_rows(client: http_client.HttpClient) -> dict[str, Any]:
+def run_rows(store: object_store.ObjectStore) -> dict[str, Any]:
     """Return the runs with the daemon that coordinates each."""
     rows: dict[str, Any] = {
         name: {'coordinator': None}
-        for name in editor.Editor(client).read().names('runs')
+        for name in editor.Editor(store).read().names('runs')
     }
-    for member in operations.members(client):
+    for member in operations.members(store):
         try:
             state = fetch_dump(member.admin_address)
         except errors.PlatformUnavailable:
--- a/packages/chestnutshunt-cli/chestnutshunt_cli/operations.py
+++ b/packages/chestnutshunt-cli/chestnutshunt_cli/operations.py
@@ -1,6 +1,6 @@
 """User-level functions that the command line calls.
 
-Each takes a platform client and plain values, so that scripts can call them
+Each takes a store and plain values, so that scripts can call them
 without the command line.
 """
 
@@ -15,9 +15,10 @@
 from chestnutshunt.config import tree
 from chestnutshunt import errors
 from chestnutshunt.lease import lease
+from chestnutshunt.membership import ended_vm
 from chestnutshunt.membership import member
 from chestnutshunt.routing import target
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
 from chestnutshunt.store import stored_object
 from chestnutshunt_cli import changes
 
@@ -25,19 +26,22 @@
     'apply_nodes',
     'create_key',
     'listed',
+    'mark_gone',
     'members',
     'show',
     'withdraw_key',
 ]
 
 
-def show(platform: client.Client, path: str) -> dict[str, origin.Origin]:
+def show(
+    store: object_store.ObjectStore, path: str
+) -> dict[str, origin.Origin]:
     """Return the settings of a node and where each comes from."""
-    return editor.Editor(platform).read().explain(path)
+    return editor.Editor(store).read().explain(path)
 
 
 def apply_nodes(
-    platform: client.Client, wanted: dict[str, dict[str, Any]]
+    store: object_store.ObjectStore, wanted: dict[str, dict[str, Any]]
 ) -> list[changes.Change]:
     """Make the named nodes equal to those of a file.
 
@@ -54,7 +58,7 @@
     BadSetting, ConfigConflict
         Nothing, or only the nodes before the conflict, were written.
     """
-    tool = editor.Editor(platform)
+    tool = editor.Editor(store)
     seen = tool.read()
     found = changes.find_changes(seen, wanted)
     order = [
@@ -82,13 +86,13 @@
 ) -> node.Node:
     """Return a node of a file on top of the version that was seen."""
     held = seen.nodes.get(path)
-    version = held.version if held else client.ABSENT
+    version = held.version if held else object_store.ABSENT
     return node.Node.checked(path, version, table)
 
 
-def create_key(platform: client.Client, workspace: str) -> str:
+def create_key(store: object_store.ObjectStore, workspace: str) -> str:
     """Create a key and return its token, which is stored nowhere."""
-    tool = editor.Editor(platform)
+    tool = editor.Editor(store)
     if f'workspaces/{workspace}' not in tool.read().nodes:
         raise errors.RouteUnknown(
             f'There is no workspace {workspace!r}.',
@@ -100,9 +104,11 @@
     return made.token
 
 
-def withdraw_key(platform: client.Client, workspace: str, key_id: str) -> None:
+def withdraw_key(
+    store: object_store.ObjectStore, workspace: str, key_id: str
+) -> None:
     """Withdraw a key; it stops working within seconds."""
-    tool = editor.Editor(platform)
+    tool = editor.Editor(store)
     path = f'workspaces/{workspace}/keys/{key_id}'
     seen = tool.read()
     if path not in seen.nodes:
@@ -114,10 +120,10 @@
 
 
 def listed(
-    platform: client.Client, kind: str
+    store: object_store.ObjectStore, kind: str
 ) -> tuple[stored_object.StoredObject, ...]:
     """Return the platform's objects of a kind."""
-    match platform.list_objects([kind]):
+    match store.list_kind(kind):
         case result.Success(found):
             return found.objects
         case result.Failure(error):
@@ -125,11 +131,18 @@
     return ()
 
 
-def members(platform: client.Client) -> list[member.Member]:
+def mark_gone(store: object_store.ObjectStore, name: str) -> None:
+    """Mark the VM of a daemon as gone; raises the store's error."""
+    match ended_vm.mark_ended(store, name):
+        case result.Failure(error):
+            raise error
+
+
+def members(store: object_store.ObjectStore) -> list[member.Member]:
     """Return the daemons that the platform lists."""
     return [
         member.Member.decode(held)
-        for held in listed(platform, member.MEMBER_KIND)
+        for held in listed(store, member.MEMBER_KIND)
     ]
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/coordinator.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/coordinator.py
@@ -18,7 +18,8 @@
 from chestnutshunt.rollout import batch
 from chestnutshunt.rollout import manifest
 from chestnutshunt import steps
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
+from chestnutshunt.store import put_settled
 from chestnutshunt_daemon import bulk
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import step_maker
@@ -49,7 +50,7 @@
 
     content: batch.Batch
     data: bytes = attrs.field(repr=False)
-    version: int = client.ABSENT
+    version: int = object_store.ABSENT
 
 
 class Coordinator:
@@ -211,7 +212,7 @@
             old = self.made.pop(step)
             self.held.bulk.drop(batch.digest_of(old.data))
             if old.version:
-                self.held.platform.delete(
+                self.held.store.delete(
                     manifest.STEP_KIND,
                     manifest.manifest_name(self.run, step),
                     old.version,
@@ -235,7 +236,7 @@
         if step in self.discarded:
             return None
         name = manifest.manifest_name(self.run, step)
-        match self.held.platform.get(manifest.STEP_KIND, name):
+        match self.held.store.get(manifest.STEP_KIND, name):
             case result.Success(found) if found is not None:
                 pass
             case _:
@@ -276,7 +277,7 @@
         data = made.encode()
         holders = bulk.keep_twice(self.held, data)
         steps.reach('run.after_copies')
-        expected = old.version if old else client.ABSENT
+        expected = old.version if old else object_store.ABSENT
         ready = self.agree(step, made, data, holders, expected)
         steps.reach('run.after_manifest')
         self.discarded.pop(step, None)
@@ -295,8 +296,8 @@
             batch.digest_of(data), len(data), holders, self.charge.fence
         )
         name = manifest.manifest_name(self.run, step)
-        written = client.put_settled(
-            self.held.platform,
+        written = put_settled.put_settled(
+            self.held.store,
             manifest.STEP_KIND,
             name,
             entry.encode(),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -9,7 +9,7 @@
 
 from chestnutshunt.membership import member
 from chestnutshunt import steps
-from chestnutshunt.store import http_client
+from chestnutshunt.store import adapter
 from chestnutshunt_daemon import admin_app
 from chestnutshunt_daemon import duties
 from chestnutshunt_daemon import front_app
@@ -42,7 +42,7 @@
         address=config.peer_address,
         admin_address=config.admin_address,
     )
-    platform = http_client.HttpClient(config.platform_url)
+    platform = adapter.connect(config.platform_url, config.duty_url)
     return node.Node(config, platform, own)
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/dump.py
@@ -21,7 +21,7 @@
         'threads': threading.active_count(),
         'platform_age_ms': held.freshness.age_ms(),
         'usage_copies': held.usage.copies,
-        'platform_calls': getattr(held.platform, 'calls', 0),
+        'platform_calls': held.store.calls,
         'config': dump_config(held),
         'peers': dump_peers(held),
         'targets': dump_targets(held),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/duties.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/duties.py
@@ -120,7 +120,7 @@
     def make_lease(self, name: str) -> lease.Lease:
         """Return this daemon's side of a lease."""
         return lease.Lease(
-            self.held.platform,
+            self.held.store,
             self.held.clock,
             name,
             self.held.own.owner,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet_controller.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet_controller.py
@@ -170,7 +170,7 @@
         steps.reach('fleet.before_order')
         fence = self.charge.require()
         scope = f'fleet/{self.held.own.datacentre}'
-        sent = self.held.platform.order(wanted.encode(scope, fence))
+        sent = order.place(self.held.store, wanted, scope, fence)
         steps.reach('fleet.after_order')
         LOG.info('%s %s: %s', wanted.action, wanted.target, wanted.reason)
         if wanted.action == 'stop':
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/limits.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/limits.py
@@ -69,7 +69,7 @@
         with self.lock:
             if workspace not in self.keepers:
                 self.keepers[workspace] = share_keeper.ShareKeeper(
-                    self.held.platform,
+                    self.held.store,
                     self.held.clock,
                     workspace,
                     self.held.own.owner,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/node.py
@@ -26,7 +26,7 @@
 from chestnutshunt.routing import load_view
 from chestnutshunt.routing import queue_view
 from chestnutshunt.routing import target
-from chestnutshunt.store import client
+from chestnutshunt.store import adapter
 from chestnutshunt import system_clock
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import freshness
@@ -34,9 +34,7 @@
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon import settings
 
-__all__ = ['MIRRORED_KINDS', 'Node']
-
-MIRRORED_KINDS = ('config', 'member', 'share', 'target', 'weights')
+__all__ = ['Node']
 
 PERIOD_FOR_EACH_PEER = 0.1
 """Seconds by which each peer lengthens the heartbeats' period."""
@@ -52,7 +50,7 @@
     ----------
     config : DaemonSettings
         The daemon's own settings.
-    platform : Client
+    platform : Platform
         The platform.
     own : Member
         This start of the daemon.
@@ -63,12 +61,13 @@
     def __init__(
         self,
         config: settings.DaemonSettings,
-        platform: client.Client,
+        platform: adapter.Platform,
         own: member.Member,
         source: clock.Clock | None = None,
     ) -> None:
         self.config = config
-        self.platform = platform
+        self.store = platform.store
+        self.duty_platform = platform.duties
         self.own = own
         self.clock = source or system_clock.SystemClock()
         self.mirror = mirror.Mirror()
@@ -82,7 +81,7 @@
             self.clock, FINISHED_ANSWERS_S
         )
         self.quarantine = quarantine.Quarantine(self.clock)
-        self.ledger = ledger.Ledger(platform, self.clock)
+        self.ledger = ledger.Ledger(platform.store, self.clock)
         self.connections = connection_pool.ConnectionPool(self.clock)
         self.peers = peer_clients.PeerClients()
         self.metrics = metrics.Metrics()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_mesh.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_mesh.py
@@ -117,7 +117,7 @@
 def publish_member(held: node.Node) -> bool:
     """Write this daemon's member object; return True on success."""
     own = held.own
-    match held.platform.get(member.MEMBER_KIND, own.name):
+    match held.store.get(member.MEMBER_KIND, own.name):
         case result.Success(found):
             pass
         case _:
@@ -125,7 +125,7 @@
     if found is not None and found.value == own.encode():
         return True
     expected = found.version if found else 0
-    written = held.platform.put(
+    written = held.store.put(
         member.MEMBER_KIND, own.name, own.encode(), expected
     )
     return isinstance(written, result.Success)
@@ -134,6 +134,6 @@
 def withdraw_member(held: node.Node) -> None:
     """Delete this daemon's member object, if it is still its own."""
     own = held.own
-    found = held.platform.get(member.MEMBER_KIND, own.name).value_or(None)
+    found = held.store.get(member.MEMBER_KIND, own.name).value_or(None)
     if found is not None and found.value == own.encode():
-        held.platform.delete(member.MEMBER_KIND, own.name, found.version)
+        held.store.delete(member.MEMBER_KIND, own.name, found.version)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/relay.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from chestnutshunt.membership import ended_vm
 from chestnutshunt.mirror import follower
 from chestnutshunt.routing import target
 from chestnutshunt_daemon import node
@@ -36,9 +37,7 @@
 
     def __init__(self, held: node.Node) -> None:
         self.held = held
-        self.follower = follower.Follower(
-            held.platform, held.mirror, node.MIRRORED_KINDS
-        )
+        self.follower = follower.Follower(held.store, held.mirror)
         self.listed_at = -LIST_PERIOD
         self.published = False
 
@@ -71,11 +70,9 @@
             self.listed_at = now - LIST_PERIOD + REVIEW_PERIOD
 
     def read_vms(self) -> None:
-        """Take over which VMs the platform lists as gone."""
-        match self.held.platform.vms():
-            case result.Success(listed):
-                self.held.ended_vms = frozenset(
-                    item['name']
-                    for item in listed
-                    if item.get('state') == 'gone'
-                )
+        """Take over which VMs are marked as gone."""
+        match ended_vm.list_ended(self.held.store):
+            case result.Success(names):
+                self.held.ended_vms = names
+            case result.Failure(error):
+                LOG.warning('The list of VMs could not be read: %s', error)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/run_api.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/run_api.py
@@ -201,7 +201,7 @@
             'The body names no version.', 'Send {"version": NUMBER}.'
         )
     for _ in range(MAX_WRITE_TRIES):
-        found = held.platform.get(WEIGHTS_KIND, run)
+        found = held.store.get(WEIGHTS_KIND, run)
         match found:
             case result.Success(current):
                 pass
@@ -211,7 +211,7 @@
             version = current.value['version']
             break
         expected = current.version if current else 0
-        written = held.platform.put(
+        written = held.store.put(
             WEIGHTS_KIND, run, {'version': version}, expected
         )
         if isinstance(written, result.Success):
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/settings.py
@@ -62,7 +62,9 @@
     caller_address, peer_address, admin_address : str
         ``IP:PORT`` for callers, other daemons and operators.
     platform_url : str
-        Base address of the platform.
+        Base address of the platform's store.
+    duty_url : str
+        Base address of usage reports; empty if the store's takes them.
     seeds : list of str
         Peer addresses to ask when the platform does not answer.
     data_folder : str
@@ -85,6 +87,7 @@
     peer_address: str = attrs.field(validator=address)
     admin_address: str = attrs.field(validator=address)
     platform_url: str
+    duty_url: str = ''
     seeds: list[str] = attrs.field(factory=list)
     data_folder: str = ''
     threads: int = attrs.field(default=128, validator=at_least(4))
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/usage_reporter.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/usage_reporter.py
@@ -8,7 +8,8 @@
 from chestnutshunt import errors
 from chestnutshunt.lease import lease
 from chestnutshunt import steps
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
+from chestnutshunt.store import put_settled
 from chestnutshunt.usage import frozen_window
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_codec
@@ -79,7 +80,7 @@
     def read(self, window: int) -> frozen_window.FrozenWindow | None:
         """Return a frozen window, ``None`` if there is none."""
         name = frozen_window.window_name(window)
-        match self.held.platform.get(frozen_window.USAGE_KIND, name):
+        match self.held.store.get(frozen_window.USAGE_KIND, name):
             case result.Success(None):
                 return None
             case result.Success(found):
@@ -95,12 +96,12 @@
         made = frozen_window.freeze(window, tallies, self.before)
         steps.reach('usage.before_freeze')
         self.charge.require()
-        written = client.put_settled(
-            self.held.platform,
+        written = put_settled.put_settled(
+            self.held.store,
             frozen_window.USAGE_KIND,
             frozen_window.window_name(window),
             made.encode(),
-            client.ABSENT,
+            object_store.ABSENT,
         )
         steps.reach('usage.after_freeze')
         match written:
@@ -138,7 +139,7 @@
         name = frozen_window.window_name(frozen.window)
         if frozen.window in self.reported:
             return
-        match self.held.platform.get(REPORTED_KIND, name):
+        match self.held.store.get(REPORTED_KIND, name):
             case result.Success(None):
                 pass
             case result.Success(_):
@@ -147,12 +148,19 @@
             case result.Failure(error):
                 raise error
         steps.reach('usage.before_report')
-        self.charge.require()
-        sent = self.held.platform.report_usage(frozen.report())
+        sent = self.held.duty_platform.report_usage(
+            self.held.own.owner,
+            self.charge.require(),
+            frozen.window,
+            frozen.requests(),
+        )
         steps.reach('usage.after_report')
         if not isinstance(sent, result.Success):
             raise sent.failure()
         self.reported.add(frozen.window)
-        self.held.platform.put(
-            REPORTED_KIND, name, {'by': self.held.own.owner}, client.ABSENT
+        self.held.store.put(
+            REPORTED_KIND,
+            name,
+            {'by': self.held.own.owner},
+            object_store.ABSENT,
         )
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/cluster.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/cluster.py
@@ -19,8 +19,8 @@
 
 from chestnutshunt.admission import credential
 from chestnutshunt.config import editor
-from chestnutshunt.store import client
-from chestnutshunt.store import http_client
+from chestnutshunt.store import adapter
+from chestnutshunt.store import object_store
 
 __all__ = [
     'HOST',
@@ -246,7 +246,9 @@
         self.stack = stack
         self.platform = self.standin('platform', 'platform')
         self.platform_url = self.platform.url
-        self.client = http_client.HttpClient(self.platform_url)
+        reached = adapter.connect(self.platform_url)
+        self.client = reached.store
+        self.duties = reached.duties
         self.editor = editor.Editor(self.client)
         self.daemons = []
         self.targets = []
@@ -268,7 +270,7 @@
             'state': 'running',
             **fields,
         }
-        self.client.put('target', name, value, client.ABSENT).unwrap()
+        self.client.put('target', name, value, object_store.ABSENT).unwrap()
         return made
 
     def daemon(self, name, datacentre='marmara-a', **overrides):
@@ -293,7 +295,7 @@
 
     def wait_config(self):
         """Wait until all daemons have the newest revision."""
-        revision = self.client.list_objects(['config']).unwrap().revision
+        revision = self.client.list_followed().unwrap().revision
         for item in self.daemons:
             wait_until(
                 lambda d=item: (
--- a/packages/chestnutshunt-standins/chestnutshunt_standins/http.py
+++ b/packages/chestnutshunt-standins/chestnutshunt_standins/http.py
@@ -34,7 +34,8 @@
     def __init__(self, environ: dict[str, Any]) -> None:
         self.environ = environ
         self.method = environ['REQUEST_METHOD']
-        self.path = parse.unquote(environ['PATH_INFO'])
+        self.raw_path = environ['PATH_INFO']
+        self.path = parse.unquote(self.raw_path)
         self.query = dict(parse.parse_qsl(environ.get('QUERY_STRING', '')))
         self.body = environ['wsgi.input'].read()
 
@@ -50,6 +51,10 @@
             if key.startswith('HTTP_')
         }
 
+    def path_parts(self) -> list[str]:
+        """Return the parts of the path; a quoted slash parts nothing."""
+        return [parse.unquote(x) for x in self.raw_path.strip('/').split('/')]
+
     def json(self) -> Any:
         """Return the decoded body."""
         return json.loads(self.body or b'null')
--- a/packages/chestnutshunt/chestnutshunt/admission/share_keeper.py
+++ b/packages/chestnutshunt/chestnutshunt/admission/share_keeper.py
@@ -9,7 +9,7 @@
 from chestnutshunt.admission import token_bucket
 from chestnutshunt import clock
 from chestnutshunt import errors
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
 from chestnutshunt.store import stored_object
 
 __all__ = ['ShareKeeper']
@@ -31,7 +31,7 @@
 
     Parameters
     ----------
-    platform : Client
+    store : ObjectStore
         Where the record is kept.
     source : Clock
         Clock of the rates.
@@ -43,12 +43,12 @@
 
     def __init__(
         self,
-        platform: client.Client,
+        store: object_store.ObjectStore,
         source: clock.Clock,
         workspace: str,
         owner: str,
     ) -> None:
-        self.platform = platform
+        self.store = store
         self.source = source
         self.workspace = workspace
         self.owner = owner
@@ -63,7 +63,7 @@
         self.demand = share.Share()
         self.stated = share.Share()
         self.record = share_record.ShareRecord()
-        self.version = client.ABSENT
+        self.version = object_store.ABSENT
         self.unsettled = False
         self.counted_at = source.monotonic()
         self.lock = threading.Lock()
@@ -168,7 +168,7 @@
 
     def read_again(self) -> None:
         """Find out what became of a write whose reply was lost."""
-        found = self.platform.get(share_record.SHARE_KIND, self.workspace)
+        found = self.store.get(share_record.SHARE_KIND, self.workspace)
         match found:
             case result.Success(held):
                 self.unsettled = False
@@ -192,7 +192,7 @@
         if not self.worth_writing(moved):
             self.use(limit, before)
             return
-        written = self.platform.put(
+        written = self.store.put(
             share_record.SHARE_KIND,
             self.workspace,
             moved.encode(),
--- a/packages/chestnutshunt/chestnutshunt/config/editor.py
+++ b/packages/chestnutshunt/chestnutshunt/config/editor.py
@@ -7,7 +7,8 @@
 from chestnutshunt.config import node
 from chestnutshunt.config import tree
 from chestnutshunt import errors
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
+from chestnutshunt.store import put_settled
 from chestnutshunt.store import stored_object
 
 __all__ = ['CONFIG_KIND', 'Editor', 'decode_node', 'object_name']
@@ -32,16 +33,16 @@
 
     Parameters
     ----------
-    platform : Client
+    store : ObjectStore
         Where the tree is kept.
     """
 
-    def __init__(self, platform: client.Client) -> None:
-        self.platform = platform
+    def __init__(self, store: object_store.ObjectStore) -> None:
+        self.store = store
 
     def read(self) -> tree.Tree:
         """Read the whole tree; raises the platform's error."""
-        listed = unwrap(self.platform.list_objects([CONFIG_KIND]))
+        listed = unwrap(self.store.list_kind(CONFIG_KIND))
         nodes = [decode_node(held) for held in listed.objects]
         return tree.Tree.of(nodes, listed.revision)
 
@@ -70,7 +71,7 @@
             The node has changed since `based_on`.
         """
         seen = based_on or self.read()
-        held = seen.nodes.get(path) or node.Node(path, client.ABSENT, {})
+        held = seen.nodes.get(path) or node.Node(path, object_store.ABSENT, {})
         return self.write(seen, held, {**held.values, **changes})
 
     def unset(
@@ -97,7 +98,7 @@
         rest = [item for item in seen.nodes.values() if item.path != path]
         tree.Tree.of(rest).check()
         name = object_name(path)
-        unwrap(self.platform.delete(CONFIG_KIND, name, held.version), path)
+        unwrap(self.store.delete(CONFIG_KIND, name, held.version), path)
 
     def write(
         self, seen: tree.Tree, held: node.Node, values: dict[str, Any]
@@ -106,8 +107,8 @@
         made = node.Node.checked(held.path, held.version, values)
         tree.Tree.of([*seen.nodes.values(), made]).check()
         stored = unwrap(
-            client.put_settled(
-                self.platform,
+            put_settled.put_settled(
+                self.store,
                 CONFIG_KIND,
                 object_name(held.path),
                 made.values,
--- a/packages/chestnutshunt/chestnutshunt/errors.py
+++ b/packages/chestnutshunt/chestnutshunt/errors.py
@@ -3,6 +3,7 @@
 from chestnutshunt.attempts import progress
 
 __all__ = [
+    'AdapterMissing',
     'BadRequest',
     'BadSetting',
     'ChestnutshuntError',
@@ -197,6 +198,14 @@
     remedy = 'Discard the partial answer and send the request again.'
 
 
+class AdapterMissing(ChestnutshuntError):
+    """Nothing that is installed speaks the platform's form."""
+
+    kind = 'adapter_missing'
+    status = 500
+    remedy = 'Install the package in the folder platform/.'
+
+
 class PlatformUnavailable(ChestnutshuntError):
     """The platform did not take the call; nothing was changed."""
 
--- a/packages/chestnutshunt/chestnutshunt/fleet/order.py
+++ b/packages/chestnutshunt/chestnutshunt/fleet/order.py
@@ -1,10 +1,20 @@
-"""An order to start, drain or stop a target."""
+"""An order to start, drain or stop a target.
+
+An order is an object that whoever runs the target reads; the conditional
+write and the fencing number in it keep an earlier holder from ordering.
+"""
 
 from typing import Any
 
 import attrs
+from returns import result
+
+from chestnutshunt import errors
+from chestnutshunt.store import object_store
+
+__all__ = ['ORDER_KIND', 'Order', 'place']
 
-__all__ = ['Order']
+ORDER_KIND = 'target-order'
 
 
 @attrs.frozen
@@ -33,3 +43,38 @@
             'scope': scope,
             'fence': fence,
         }
+
+
+def place(
+    store: object_store.ObjectStore, wanted: Order, scope: str, fence: int
+) -> result.Result[None, object_store.Failed]:
+    """Write an order unless a later holder has ordered.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where orders are kept.
+    wanted : Order
+        The order.
+    scope : str
+        What the fencing numbers are compared within.
+    fence : int
+        Fencing number of the holder's lease.
+
+    Returns
+    -------
+    Result
+        `Conflict` if another holder ordered meanwhile.
+    """
+    match store.get(ORDER_KIND, wanted.target):
+        case result.Success(held):
+            pass
+        case failure:
+            return failure
+    if held is not None and held.value['fence'] > fence:
+        message = f'{wanted.target} has an order of a later holder.'
+        return result.Failure(errors.Conflict(message))
+    version = held.version if held else object_store.ABSENT
+    value = wanted.encode(scope, fence)
+    written = store.put(ORDER_KIND, wanted.target, value, version)
+    return written.map(lambda _: None)
--- a/packages/chestnutshunt/chestnutshunt/lease/lease.py
+++ b/packages/chestnutshunt/chestnutshunt/lease/lease.py
@@ -7,7 +7,8 @@
 
 from chestnutshunt import clock
 from chestnutshunt import errors
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
+from chestnutshunt.store import put_settled
 from chestnutshunt.store import stored_object
 
 __all__ = ['LEASE_KIND', 'Lease']
@@ -27,7 +28,7 @@
 
     Parameters
     ----------
-    platform : Client
+    store : ObjectStore
         Where the record is kept.
     source : Clock
         Clock of this process.
@@ -52,14 +53,14 @@
 
     def __init__(
         self,
-        platform: client.Client,
+        store: object_store.ObjectStore,
         source: clock.Clock,
         name: str,
         owner: str,
         duration: float = 6.0,
         sole_process: bool = False,
     ) -> None:
-        self.platform = platform
+        self.store = store
         self.source = source
         self.name = name
         self.owner = owner
@@ -67,11 +68,11 @@
         self.sole_process = sole_process
         self.incarnation = secrets.token_hex(6)
         self.fence = 0
-        self.version = client.ABSENT
+        self.version = object_store.ABSENT
         self.valid_until = 0.0
         self.renewals = 0
         self.cut_off_at = 0.0
-        self.seen_version = client.ABSENT
+        self.seen_version = object_store.ABSENT
         self.seen_since = 0.0
         self.lock = threading.RLock()
 
@@ -127,7 +128,7 @@
     def try_acquire(self) -> None:
         """Take the lease if it is free or its holder has fallen silent."""
         began = self.source.monotonic()
-        match self.platform.get(LEASE_KIND, self.name):
+        match self.store.get(LEASE_KIND, self.name):
             case result.Success(found):
                 pass
             case _:
@@ -138,7 +139,7 @@
         if found is not None and not self.is_free(found, began):
             return
         began = self.source.monotonic()
-        expected = found.version if found else client.ABSENT
+        expected = found.version if found else object_store.ABSENT
         match self.write(expected):
             case result.Success(stored):
                 self.version = stored.version
@@ -185,11 +186,11 @@
                 return
             self.forfeit()
             value = {'holder': '', 'nonce': secrets.token_hex(6)}
-            self.platform.put(LEASE_KIND, self.name, value, self.version)
+            self.store.put(LEASE_KIND, self.name, value, self.version)
 
     def write(
         self, expected: int
-    ) -> result.Result[stored_object.StoredObject, client.Failed]:
+    ) -> result.Result[stored_object.StoredObject, object_store.Failed]:
         """Write the record over the expected version."""
         self.renewals += 1
         value = {
@@ -198,8 +199,8 @@
             'duration_s': self.duration,
             'renewals': self.renewals,
         }
-        return client.put_settled(
-            self.platform, LEASE_KIND, self.name, value, expected
+        return put_settled.put_settled(
+            self.store, LEASE_KIND, self.name, value, expected
         )
 
     def end_of(self, began: float) -> float:
--- a/packages/chestnutshunt/chestnutshunt/ledger/ledger.py
+++ b/packages/chestnutshunt/chestnutshunt/ledger/ledger.py
@@ -9,7 +9,7 @@
 from chestnutshunt.ledger import claim
 from chestnutshunt.ledger import entry
 from chestnutshunt.ledger import shard_log
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
 
 __all__ = ['Ledger']
 
@@ -21,7 +21,7 @@
 
     Parameters
     ----------
-    platform : Client
+    store : ObjectStore
         Where the segments are kept.
     source : Clock
         Clock for ages.
@@ -31,11 +31,11 @@
 
     def __init__(
         self,
-        platform: client.Client,
+        store: object_store.ObjectStore,
         source: clock.Clock,
         shards: int = SHARDS,
     ) -> None:
-        self.platform = platform
+        self.store = store
         self.source = source
         self.shards = shards
         self.logs: dict[int, shard_log.ShardLog] = {}
@@ -56,7 +56,7 @@
         with self.lock:
             if shard not in self.logs:
                 self.logs[shard] = shard_log.ShardLog(
-                    self.platform, self.source, shard
+                    self.store, self.source, shard
                 )
             return self.logs[shard]
 
--- a/packages/chestnutshunt/chestnutshunt/ledger/shard_log.py
+++ b/packages/chestnutshunt/chestnutshunt/ledger/shard_log.py
@@ -24,12 +24,14 @@
 from chestnutshunt.ledger import claim
 from chestnutshunt.ledger import entry
 from chestnutshunt import steps
-from chestnutshunt.store import client
+from chestnutshunt.store import object_store
+from chestnutshunt.store import put_settled
 from chestnutshunt.store import stored_object
 
 __all__ = ['LEDGER_KIND', 'ShardLog']
 
 LEDGER_KIND = 'ledger'
+"""With the shard's number, the kind of its segments."""
 
 MAX_BATCH = 500
 """Entries in one segment, which keeps it far below the largest value."""
@@ -79,7 +81,7 @@
 
     Parameters
     ----------
-    platform : Client
+    store : ObjectStore
         Where the segments are kept.
     source : Clock
         Clock for the age of the view and of entries.
@@ -88,11 +90,11 @@
     """
 
     def __init__(
-        self, platform: client.Client, source: clock.Clock, shard: int
+        self, store: object_store.ObjectStore, source: clock.Clock, shard: int
     ) -> None:
-        self.platform = platform
+        self.store = store
         self.source = source
-        self.shard = shard
+        self.kind = f'{LEDGER_KIND}-{shard:03d}'
         self.next_number = 0
         self.tail_nonce = ''
         self.entries: dict[str, entry.Entry] = {}
@@ -237,11 +239,11 @@
             'previous': self.tail_nonce,
             'entries': [item.encode() for item in entries],
         }
-        name = segment_name(self.shard, self.next_number)
+        name = segment_name(self.next_number)
         steps.reach('ledger.before_write')
         self.writes += 1
-        written = client.put_settled(
-            self.platform, LEDGER_KIND, name, value, client.ABSENT
+        written = put_settled.put_settled(
+            self.store, self.kind, name, value, object_store.ABSENT
         )
         steps.reach('ledger.after_write')
         match written:
@@ -266,14 +268,14 @@
     def next_is_absent(self) -> bool:
         """Confirm a view by the newest segment still being the newest."""
         began = self.source.monotonic()
-        newest = segment_name(self.shard, self.next_number - 1)
-        following = segment_name(self.shard, self.next_number)
+        newest = segment_name(self.next_number - 1)
+        following = segment_name(self.next_number)
         if not self.next_number:
             return False
-        last = self.platform.get(LEDGER_KIND, newest).value_or(None)
+        last = self.store.get(self.kind, newest).value_or(None)
         if last is None:
             return False
-        absent = self.platform.get(LEDGER_KIND, following)
+        absent = self.store.get(self.kind, following)
         if absent != result.Success(None):
             return False
         self.viewed_at = began
@@ -282,8 +284,7 @@
     def read_all(self) -> errors.ChestnutshuntError | None:
         """Build the view from all segments of the shard."""
         began = self.source.monotonic()
-        prefix = f'{self.shard:03d}/'
-        match self.platform.list_objects([LEDGER_KIND], prefix):
+        match self.store.list_kind(self.kind):
             case result.Success(listed):
                 self.rebuild(linked(listed.objects))
                 self.viewed_at = began
@@ -303,8 +304,8 @@
 
     def read_next(self) -> None:
         """Read the segment that another writer created."""
-        name = segment_name(self.shard, self.next_number)
-        match self.platform.get(LEDGER_KIND, name):
+        name = segment_name(self.next_number)
+        match self.store.get(self.kind, name):
             case result.Success(found) if found is not None:
                 self.fold(self.next_number, found.version, found.value)
             case _:
@@ -344,8 +345,8 @@
                 version, expiry = self.segments[number]
                 if expiry > limit:
                     break
-                name = segment_name(self.shard, number)
-                gone = self.platform.delete(LEDGER_KIND, name, version)
+                name = segment_name(number)
+                gone = self.store.delete(self.kind, name, version)
                 if not isinstance(gone, result.Success):
                     self.viewed_at = None
                     break
@@ -361,14 +362,14 @@
                 del self.entries[identity]
 
 
-def segment_name(shard: int, number: int) -> str:
-    """Return the platform name of a segment."""
-    return f'{shard:03d}/{number:010d}'
+def segment_name(number: int) -> str:
+    """Return the name of a segment in the store."""
+    return f'{number:010d}'
 
 
 def number_of(held: stored_object.StoredObject) -> int:
     """Return the number of a segment."""
-    return int(held.name.split('/')[1])
+    return int(held.name)
 
 
 def linked(
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/membership/ended_vm.py
@@ -0,0 +1,41 @@
+"""VMs that an operator has marked as gone for good."""
+
+from returns import result
+
+from chestnutshunt.store import object_store
+from chestnutshunt.store import stored_object
+
+__all__ = ['VM_KIND', 'list_ended', 'mark_ended']
+
+VM_KIND = 'vm'
+"""Objects named like the daemon that ran on the VM."""
+
+ENDED = {'state': 'gone'}
+
+
+def mark_ended(
+    store: object_store.ObjectStore, name: str
+) -> result.Result[stored_object.StoredObject | None, object_store.Failed]:
+    """Mark the VM of a daemon as gone for good.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where the mark is kept.
+    name : str
+        Name of the daemon.
+    """
+    match store.get(VM_KIND, name):
+        case result.Success(None):
+            return store.put(VM_KIND, name, ENDED, object_store.ABSENT)
+        case found:
+            return found
+
+
+def list_ended(
+    store: object_store.ObjectStore,
+) -> result.Result[frozenset[str], object_store.Failed]:
+    """Return the names of the daemons whose VMs are gone."""
+    return store.list_kind(VM_KIND).map(
+        lambda listed: frozenset(held.name for held in listed.objects)
+    )
--- a/packages/chestnutshunt/chestnutshunt/mirror/follower.py
+++ b/packages/chestnutshunt/chestnutshunt/mirror/follower.py
@@ -1,13 +1,12 @@
 """Follows the platform's changes into a mirror."""
 
-from collections.abc import Sequence
 import logging
 
 from returns import result
 
 from chestnutshunt import errors
 from chestnutshunt.mirror import mirror
-from chestnutshunt.store import client
+from chestnutshunt.store import followed_store
 
 __all__ = ['Follower']
 
@@ -22,28 +21,22 @@
 
     Parameters
     ----------
-    platform : Client
+    store : FollowedStore
         Where the objects are kept.
     target : Mirror
         Where the changes go.
-    kinds : sequence of str
-        Kinds to follow.
     """
 
     def __init__(
-        self,
-        platform: client.Client,
-        target: mirror.Mirror,
-        kinds: Sequence[str],
+        self, store: followed_store.FollowedStore, target: mirror.Mirror
     ) -> None:
-        self.platform = platform
+        self.store = store
         self.target = target
-        self.kinds = list(kinds)
         self.connected = False
 
     def list_once(self) -> bool:
         """List all objects into the mirror; return True on success."""
-        match self.platform.list_objects(self.kinds):
+        match self.store.list_followed():
             case result.Success(listed):
                 self.target.apply_listing(listed)
                 self.connected = True
@@ -56,7 +49,7 @@
     def watch_once(self, timeout: float = WATCH_TIMEOUT) -> bool:
         """Wait for changes and apply them; return True on success."""
         after = self.target.revision
-        match self.platform.watch(self.kinds, after, timeout):
+        match self.store.watch_followed(after, timeout):
             case result.Success(listed):
                 self.connected = True
                 self.target.apply(
--- a/packages/chestnutshunt/chestnutshunt/store/memory_client.py
+++ b/packages/chestnutshunt/chestnutshunt/store/memory_store.py
@@ -1,4 +1,4 @@
-"""Platform kept in the process's memory, for tests and embedding."""
+"""Store kept in the process's memory, for tests and embedding."""
 
 from collections.abc import Sequence
 import threading
@@ -8,18 +8,18 @@
 from returns import result
 
 from chestnutshunt import errors
-from chestnutshunt.store import client
 from chestnutshunt.store import listing
 from chestnutshunt.store import object_store
 from chestnutshunt.store import stored_object
+from chestnutshunt.store import watched_store
 
-__all__ = ['MemoryClient']
+__all__ = ['MemoryStore']
 
 HISTORY_LENGTH = 10_000
 
 
-class MemoryClient(client.Client, object_store.ObjectStore):
-    """In-memory platform with faults that a test can switch on.
+class MemoryStore(watched_store.WatchedStore):
+    """In-memory store with faults that a test can switch on.
 
     Attributes
     ----------
@@ -27,8 +27,6 @@
         Every call fails with `PlatformUnavailable`.
     lose_replies : int
         How many of the next writes take effect without a reply.
-    orders, reports : list of dict
-        What was ordered and reported, in order.
     """
 
     def __init__(self) -> None:
@@ -38,14 +36,11 @@
         self.calls = 0
         self.objects: dict[tuple[str, str], stored_object.StoredObject] = {}
         self.history: list[stored_object.StoredObject] = []
-        self.orders: list[dict[str, Any]] = []
-        self.reports: list[dict[str, Any]] = []
-        self.vm_list: list[dict[str, Any]] = []
         self.changed = threading.Condition()
 
     def get(
         self, kind: str, name: str
-    ) -> result.Result[stored_object.StoredObject | None, client.Failed]:
+    ) -> result.Result[stored_object.StoredObject | None, object_store.Failed]:
         """Read one object; ``None`` when there is none."""
         if self.down:
             return self.unavailable()
@@ -55,7 +50,7 @@
 
     def put(
         self, kind: str, name: str, value: dict[str, Any], expected: int
-    ) -> result.Result[stored_object.StoredObject, client.Failed]:
+    ) -> result.Result[stored_object.StoredObject, object_store.Failed]:
         """Write an object if its version is `expected`."""
         if self.down:
             return self.unavailable()
@@ -64,8 +59,13 @@
             if self.held_version(kind, name) != expected:
                 return self.conflict(kind, name)
             self.revision += 1
+            before = self.objects.get((kind, name))
             made = stored_object.StoredObject(
-                kind, name, self.revision, dict(value)
+                kind,
+                name,
+                self.revision,
+                dict(value),
+                status=before.status if before else {},
             )
             self.objects[made.key] = made
             self.record(made)
@@ -73,7 +73,7 @@
 
     def delete(
         self, kind: str, name: str, expected: int
-    ) -> result.Result[int, client.Failed]:
+    ) -> result.Result[int, object_store.Failed]:
         """Delete an object if its version is `expected`."""
         if self.down:
             return self.unavailable()
@@ -89,25 +89,25 @@
             self.record(gone)
         return self.reply(gone.version)
 
-    def list_objects(
-        self, kinds: Sequence[str], prefix: str = ''
-    ) -> result.Result[listing.Listing, client.Failed]:
-        """List the live objects of some kinds."""
+    def list_kind(
+        self, kind: str
+    ) -> result.Result[listing.Listing, object_store.Failed]:
+        """List all objects of a kind."""
         if self.down:
             return self.unavailable()
         with self.changed:
             self.calls += 1
             found = tuple(
                 held
-                for (kind, name), held in sorted(self.objects.items())
-                if kind in kinds and name.startswith(prefix)
+                for (held_kind, _), held in sorted(self.objects.items())
+                if held_kind == kind
             )
             return result.Success(listing.Listing(self.revision, found))
 
-    def watch(
-        self, kinds: Sequence[str], after: int, timeout: float
-    ) -> result.Result[listing.Listing, client.Failed]:
-        """Wait up to `timeout` seconds for changes after a revision."""
+    def watch_kind(
+        self, kind: str, after: int, timeout_s: float
+    ) -> result.Result[listing.Listing, object_store.Failed]:
+        """Wait for changes of a kind."""
         if self.down:
             return self.unavailable()
         with self.changed:
@@ -116,44 +116,14 @@
                 lost = errors.HistoryLost(f'Revision {after} is too old.')
                 return result.Failure(lost)
             self.changed.wait_for(
-                lambda: self.changes(kinds, after) or self.down, timeout
+                lambda: self.changes(kind, after) or self.down, timeout_s
             )
-            found = self.changes(kinds, after)
+            found = self.changes(kind, after)
             return result.Success(listing.Listing(self.revision, tuple(found)))
 
-    def order(
-        self, order: dict[str, Any]
-    ) -> result.Result[None, client.Failed]:
-        """Record an order to a target."""
-        if self.down:
-            return self.unavailable()
-        self.orders.append(order)
-        return result.Success(None)
-
-    def report_usage(
-        self, report: dict[str, Any]
-    ) -> result.Result[None, client.Failed]:
-        """Record a usage report."""
-        if self.down:
-            return self.unavailable()
-        self.reports.append(report)
-        return result.Success(None)
-
-    def vms(self) -> result.Result[list[dict[str, Any]], client.Failed]:
-        """Return the list of VMs that the test has set."""
-        if self.down:
-            return self.unavailable()
-        return result.Success(list(self.vm_list))
-
-    def list_kind(
-        self, kind: str
-    ) -> result.Result[listing.Listing, client.Failed]:
-        """List all objects of a kind."""
-        return self.list_objects([kind])
-
     def put_status(
         self, kind: str, name: str, status: dict[str, Any], expected: int
-    ) -> result.Result[stored_object.StoredObject, client.Failed]:
+    ) -> result.Result[stored_object.StoredObject, object_store.Failed]:
         """Write what the system says about an operator's object."""
         if self.down:
             return self.unavailable()
@@ -169,14 +139,14 @@
         return self.reply(made)
 
     def changes(
-        self, kinds: Sequence[str], after: int
+        self, kind: str, after: int
     ) -> Sequence[stored_object.StoredObject]:
-        """Return the recorded changes of some kinds after a revision."""
+        """Return the recorded changes of a kind after a revision."""
         newer = []
         for held in reversed(self.history):
             if held.version <= after:
                 break
-            if held.kind in kinds:
+            if held.kind == kind:
                 newer.append(held)
         newer.reverse()
         return newer
@@ -184,7 +154,7 @@
     def held_version(self, kind: str, name: str) -> int:
         """Return the version held, or `ABSENT`."""
         held = self.objects.get((kind, name))
-        return held.version if held else client.ABSENT
+        return held.version if held else object_store.ABSENT
 
     def record(self, made: stored_object.StoredObject) -> None:
         """Add a change to the bounded history and wake the watches."""
@@ -192,7 +162,7 @@
         del self.history[:-HISTORY_LENGTH]
         self.changed.notify_all()
 
-    def reply(self, value: Any) -> result.Result[Any, client.Failed]:
+    def reply(self, value: Any) -> result.Result[Any, object_store.Failed]:
         """Return a write's reply, or lose it when a test asked for that."""
         if self.lose_replies > 0:
             self.lose_replies -= 1
@@ -201,11 +171,11 @@
 
     def conflict(
         self, kind: str, name: str
-    ) -> result.Result[Any, client.Failed]:
+    ) -> result.Result[Any, object_store.Failed]:
         """Return the failure of a conditional write."""
         clash = errors.Conflict(f'{kind}/{name} has another version.')
         return result.Failure(clash)
 
-    def unavailable(self) -> result.Result[Any, client.Failed]:
+    def unavailable(self) -> result.Result[Any, object_store.Failed]:
         """Return the failure of a call during an outage."""
-        return result.Failure(errors.PlatformUnavailable('Platform is down.'))
+        return result.Failure(errors.PlatformUnavailable('The store is down.'))
--- a/packages/chestnutshunt/chestnutshunt/store/object_store.py
+++ b/packages/chestnutshunt/chestnutshunt/store/object_store.py
@@ -9,9 +9,13 @@
 from chestnutshunt.store import listing
 from chestnutshunt.store import stored_object
 
-__all__ = ['ObjectStore']
+__all__ = ['ABSENT', 'Failed', 'ObjectStore']
+
+ABSENT = 0
+"""Version that a conditional write expects of an object to be created."""
 
 Failed = errors.ChestnutshuntError
+"""What a failed call returns."""
 
 
 class ObjectStore(abc.ABC):
--- a/packages/chestnutshunt/chestnutshunt/usage/frozen_window.py
+++ b/packages/chestnutshunt/chestnutshunt/usage/frozen_window.py
@@ -39,13 +39,13 @@
     late: dict[str, count.Count]
     counted: dict[tally_key.TallyKey, count.Count]
 
-    def report(self) -> dict[str, Any]:
-        """Return the report; every call gives the same."""
-        return {
-            'window': self.window,
-            'figures': {k: attrs.asdict(v) for k, v in self.figures.items()},
-            'late': {k: attrs.asdict(v) for k, v in self.late.items()},
-        }
+    def requests(self) -> dict[str, int]:
+        """Return the requests to report, late ones included."""
+        counts: dict[str, int] = {}
+        for part in (self.figures, self.late):
+            for workspace, held in part.items():
+                counts[workspace] = counts.get(workspace, 0) + held.requests
+        return counts
 
     def encode(self) -> dict[str, Any]:
         """Return the JSON form."""
@@ -53,7 +53,12 @@
             [*attrs.astuple(key), *attrs.astuple(held)]
             for key, held in sorted(self.counted.items())
         ]
-        return {**self.report(), 'counted': rows}
+        return {
+            'window': self.window,
+            'figures': {k: attrs.asdict(v) for k, v in self.figures.items()},
+            'late': {k: attrs.asdict(v) for k, v in self.late.items()},
+            'counted': rows,
+        }
 
     @classmethod
     def decode(cls, value: dict[str, Any]) -> 'FrozenWindow':
--- a/tests/faults/test_data_centres.py
+++ b/tests/faults/test_data_centres.py
@@ -55,10 +55,9 @@
             for e in wide.platform.log('usage')
         }
         return sum(
-            part['requests']
+            requests
             for report in reports.values()
-            for kind in ('figures', 'late')
-            for part in report[kind].values()
+            for requests in report['counts'].values()
         )
 
     cluster.wait_until(lambda: total() >= 40, 'all are reported')
--- a/tests/faults/test_fleet.py
+++ b/tests/faults/test_fleet.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from chestnutshunt.store import object_store
+from chestnutshunt_platform import store_client
 from chestnutshunt_standins import cluster
 from tests import fake_target
 
@@ -109,17 +111,16 @@
     def __init__(self, folder, stack):
         self.folder = folder
         self.stack = stack
-        self.store = StoreProcess(folder)
+        self.store = cluster.Standin('platform', folder, 'store')
+        self.client = store_client.StoreClient(self.store.address)
         stack.callback(self.store.close)
         self.put('config', 'main', config())
         self.daemons = []
 
     def put(self, kind, name, value):
-        cluster.HTTP.request(
-            'POST',
-            f'{self.store.url}/put/{kind}/{name}',
-            body=json.dumps(value),
-        )
+        held = self.client.get(kind, name).unwrap()
+        version = held.version if held else object_store.ABSENT
+        self.client.put(kind, name, value, version).unwrap()
 
     def target(self, name, service, *script, version=1):
         made = fake_target.FakeTarget(name, *script)
@@ -149,26 +150,6 @@
         return self.daemons
 
 
-class StoreProcess(cluster.Standin):
-    def __init__(self, folder):
-        self.port = cluster.free_port()
-        self.name = 'store'
-        self.address = f'{cluster.HOST}:{self.port}'
-        self.url = f'http://{self.address}'
-        cluster.Process.__init__(
-            self,
-            [
-                'tests.fleet_platform',
-                '--host',
-                cluster.HOST,
-                '--port',
-                str(self.port),
-            ],
-            folder / 'store.log',
-        )
-        cluster.wait_until(self.answers, 'the store answers')
-
-
 @pytest.fixture
 def fleet(tmp_path):
     with contextlib.ExitStack() as stack:
@@ -307,7 +288,7 @@
 def test_lost_replies_of_the_store_accept_a_job_once(fleet):
     target = fleet.target('t1', 'model', fake_target.events(1, version=1))
     (daemon,) = fleet.start(1)
-    fleet.store.fault(lose=1)
+    fleet.store.fault(lose_replies=1)
     status = daemon.call('POST', '/model/', job_body(), 'j1').status
     while status != 202:
         assert status in (502, 503, 504)
@@ -363,15 +344,15 @@
         assert daemon.call('POST', '/app/x', b'', f'q{number}').status == 200
 
     def counted():
-        calls = fleet.store.log('duty')
-        return sum(x['value']['counts'].get('w', 0) for x in calls) >= 6
+        calls = fleet.store.log('usage')
+        return sum(x['report']['counts'].get('w', 0) for x in calls) >= 6
 
     cluster.wait_until(counted, 'all six requests are reported')
-    calls = fleet.store.log('duty')
+    calls = fleet.store.log('usage')
     assert len({x['holder'] for x in calls}) == 1
     windows = {}
     for call in calls:
-        value = call['value']
+        value = call['report']
         counts = windows.setdefault(value['window'], value['counts'])
         assert counts == value['counts']
     assert sum(x.get('w', 0) for x in windows.values()) == 6
--- a/tests/faults/test_targets.py
+++ b/tests/faults/test_targets.py
@@ -37,7 +37,7 @@
 
 
 def states(fleet):
-    held = fleet.client.list_objects(['target']).unwrap().objects
+    held = fleet.client.list_kind('target').unwrap().objects
     return {item.name: item.value['state'] for item in held}
 
 
@@ -132,14 +132,14 @@
 
 def tick(fleet):
     """Have the platform log an event, by which its clock can be read."""
-    fleet.client.report_usage({'window': -1, 'figures': {}, 'late': {}})
+    fleet.duties.report_usage('test', 0, -1, {})
     return False
 
 
 def test_more_demand_starts_targets(fleet):
     held = {
         item.name: item
-        for item in fleet.client.list_objects(['target']).unwrap().objects
+        for item in fleet.client.list_kind('target').unwrap().objects
     }
     for name in ('engine-1', 'engine-3'):
         value = {**held[name].value, 'state': 'stopped'}
--- a/tests/faults/test_usage_reports.py
+++ b/tests/faults/test_usage_reports.py
@@ -35,10 +35,9 @@
     """Return the requests over all reports, each window counted once."""
     by_window = {item['window']: item for item in reports(billed)}
     return sum(
-        part['requests']
+        requests
         for item in by_window.values()
-        for kind in ('figures', 'late')
-        for part in item[kind].values()
+        for requests in item['counts'].values()
     )
 
 
--- a/tests/fleet/test_cleanup_duty.py
+++ b/tests/fleet/test_cleanup_duty.py
@@ -8,7 +8,7 @@
 from chestnutshunt.jobs import result
 from chestnutshunt.jobs import result_log
 from chestnutshunt import manual_clock
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from chestnutshunt_daemon.fleet import cleanup_duty
 from chestnutshunt_daemon.fleet import fleet_settings
 from chestnutshunt_daemon.fleet import fleet_state
@@ -23,7 +23,7 @@
             name='d1', role='front', datacentre='a', job_kept_s=120.0
         )
         self.state = fleet_state.FleetState(config, main.FORMS, self.clock)
-        self.store = memory_client.MemoryClient()
+        self.store = memory_store.MemoryStore()
         self.duty = cleanup_duty.CleanupDuty(self.state, None, self.store)
 
     def accept(self, ended):
--- a/tests/jobs/test_acceptance.py
+++ b/tests/jobs/test_acceptance.py
@@ -8,7 +8,7 @@
 from chestnutshunt.jobs import job
 from chestnutshunt.jobs import job_form
 from chestnutshunt.jobs import score_call
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from tests import late_store
 
 
@@ -22,7 +22,7 @@
 
 
 def test_keeps_the_whole_job():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     held = make_job()
     assert acceptance.accept(store, held).unwrap() is True
     value = store.get(job_form.JOB_KIND, 'j').unwrap().value
@@ -30,13 +30,13 @@
 
 
 def test_a_second_submission_accepts_nothing():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     acceptance.accept(store, make_job()).unwrap()
     assert acceptance.accept(store, make_job()).unwrap() is False
 
 
 def test_a_large_job_is_kept_in_parts():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     held = make_job(items=5, size=300_000)
     acceptance.accept(store, held).unwrap()
     value = store.get(job_form.JOB_KIND, 'j').unwrap().value
@@ -45,7 +45,7 @@
 
 
 def test_a_refusal_leaves_nothing_that_runs():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     store.down = True
     match acceptance.accept(store, make_job()):
         case outcome.Failure(errors.PlatformUnavailable()):
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -18,7 +18,7 @@
 from chestnutshunt.jobs import result
 from chestnutshunt.jobs import result_log
 from chestnutshunt.jobs import score_call
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from chestnutshunt_daemon.jobs import item_runner
 from chestnutshunt_daemon.jobs import job_runner
 from tests import fake_target
@@ -75,7 +75,7 @@
 class Bench:
     def __init__(self, stack, store=None, **fields):
         self.stack = stack
-        self.store = store or memory_client.MemoryClient()
+        self.store = store or memory_store.MemoryStore()
         self.state = fleet_parts.make_state()
         self.state.deployment = make_deployment(**fields)
         self.targets = []
@@ -317,7 +317,7 @@
 
 
 def test_what_others_list_during_a_wait_is_shown_at_its_end(stack):
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     two = Bench(stack, store=store)
     stale = two.runner.add(make_job(count=3))
     other = result_log.ResultLog(store, 'j', 'x', two.state.clock)
--- a/tests/jobs/test_result_log.py
+++ b/tests/jobs/test_result_log.py
@@ -9,7 +9,7 @@
 from chestnutshunt.jobs import result
 from chestnutshunt.jobs import result_log
 from chestnutshunt import manual_clock
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from tests import late_store
 
 
@@ -26,7 +26,7 @@
 
 
 def test_appends_and_pages():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     log = make(store, 'a')
     log.append(made('x', 'y')).unwrap()
     log.append(made('y', 'z')).unwrap()
@@ -35,7 +35,7 @@
 
 
 def test_two_writers_agree_on_positions():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     one = make(store, 'a')
     two = make(store, 'b')
     one.append(made('x')).unwrap()
@@ -46,7 +46,7 @@
 
 
 def test_a_lost_reply_lists_nothing_twice():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     log = make(store, 'a')
     store.lose_replies = 1
     assert isinstance(log.append(made('x')), outcome.Failure)
@@ -69,7 +69,7 @@
 
 
 def test_a_reader_sees_what_another_daemon_has_listed():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     one = make(store, 'a')
     two = make(store, 'b')
     two.load().unwrap()
@@ -83,14 +83,14 @@
 
 
 def test_without_the_store_a_reader_is_not_sure():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     log = make(store, 'a')
     store.down = True
     assert isinstance(log.confirm(0.6), outcome.Failure)
 
 
 def test_a_large_result_gets_a_segment_of_its_own():
-    store = memory_client.MemoryClient()
+    store = memory_store.MemoryStore()
     log = make(store, 'a')
     big = [result.Result(str(n), True, 'x' * 300_000) for n in range(5)]
     log.append(big).unwrap()
--- a/tests/late_store.py
+++ b/tests/late_store.py
@@ -3,10 +3,10 @@
 from returns import result as outcome
 
 from chestnutshunt import errors
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 
 
-class LateStore(memory_client.MemoryClient):
+class LateStore(memory_store.MemoryStore):
     """Keeps some writes back; they take effect when a test says so."""
 
     def __init__(self):
--- a/tests/peers/test_relayed_store.py
+++ b/tests/peers/test_relayed_store.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from chestnutshunt import errors
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from chestnutshunt_daemon.fleet import mirror_reader
 from chestnutshunt_daemon.peers import peer_facts
 from chestnutshunt_daemon.peers import relayed_store
@@ -36,7 +36,7 @@
         return store_codec.carry_out(self.store, message)
 
 
-class Silent(memory_client.MemoryClient):
+class Silent(memory_store.MemoryStore):
     """Store that answers nothing; a write may have been made."""
 
     def put(self, *arguments):
@@ -51,12 +51,12 @@
         'p', 'x', 'a', 'p:1', False, False, frozenset(), 0.004, 0.0
     )
     state.live_peers = lambda: list(state.peers.values())
-    return state, memory_client.MemoryClient()
+    return state, memory_store.MemoryStore()
 
 
 def test_a_refused_call_goes_through_a_peer(parts):
     state, shared = parts
-    direct = memory_client.MemoryClient()
+    direct = memory_store.MemoryStore()
     direct.down = True
     peer = Peer(shared)
     store = relayed_store.RelayedStore(state, direct, peer)
@@ -83,7 +83,7 @@
 
 def test_a_peer_that_does_not_answer_leaves_a_write_open(parts):
     state, shared = parts
-    direct = memory_client.MemoryClient()
+    direct = memory_store.MemoryStore()
     direct.down = True
     peer = Peer(shared)
     peer.silent = True
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -7,6 +7,9 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 
+STAND_IN = 'chestnutshunt_standins/platform.py'
+"""Takes the platform's part in tests and the demo, so it speaks its form."""
+
 WIRE_FIELDS = (
     'apiKeys',
     'bootS',
@@ -35,7 +38,9 @@
 
 def product_sources():
     for path in (ROOT / 'packages').rglob('*.py'):
-        if '.venv' not in path.parts and not path.name.endswith('_pb2.py'):
+        if '.venv' in path.parts or path.name.endswith('_pb2.py'):
+            continue
+        if not path.as_posix().endswith(STAND_IN):
             yield path, path.read_text()
 
 
@@ -58,6 +63,14 @@
     assert found == []
 
 
+def test_nothing_of_the_product_holds_the_stand_in_or_the_adapter():
+    pattern = re.compile(
+        'chestnutshunt_platform|chestnutshunt_standins import platform'
+    )
+    for path, text in product_sources():
+        assert not pattern.search(text), path
+
+
 def test_adapter_stays_small():
     lines = sum(
         len(path.read_text().splitlines())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chestnutshunt.membership import ended_vm
 from chestnutshunt_standins import cluster
 
 
@@ -119,3 +120,10 @@
     )
     assert code == 0
     assert json.loads(out)['outcome 200'] == 50
+
+
+def test_a_vm_is_marked_as_gone_once(parts):
+    for _ in range(2):
+        code, out, _ = run(parts, 'gone', 'lost')
+        assert (code, out) == (0, 'lost is marked as gone\n')
+    assert ended_vm.list_ended(parts.client).unwrap() == {'lost'}
--- a/tests/test_fleet_controller.py
+++ b/tests/test_fleet_controller.py
@@ -1,9 +1,11 @@
 import pytest
 
+from chestnutshunt.duties import memory_duty_platform
 from chestnutshunt.lease import lease
 from chestnutshunt import manual_clock
 from chestnutshunt.membership import member
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import adapter
+from chestnutshunt.store import memory_store
 from chestnutshunt_daemon import fleet_controller
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import settings
@@ -24,9 +26,11 @@
         platform_url='http://127.0.0.1:4',
     )
     clock = manual_clock.ManualClock()
-    platform = memory_client.MemoryClient()
+    platform = adapter.Platform.of(
+        memory_store.MemoryStore(), memory_duty_platform.MemoryDutyPlatform()
+    )
     held = node.Node(config, platform, make_member('own', 'near'), clock)
-    charge = lease.Lease(platform, clock, 'fleet/near', 'own/x')
+    charge = lease.Lease(platform.store, clock, 'fleet/near', 'own/x')
     return fleet_controller.FleetController(held, charge)
 
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -3,13 +3,13 @@
 from chestnutshunt import errors
 from chestnutshunt.lease import lease
 from chestnutshunt import manual_clock
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 
 
 @pytest.fixture
 def pair():
     clock = manual_clock.ManualClock()
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     one, two = (
         lease.Lease(platform, clock, 'run/r', name, 6.0)
         for name in ('one', 'two')
@@ -103,7 +103,7 @@
 
 
 def test_a_process_started_anew_takes_its_own_lease_back():
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     source = manual_clock.ManualClock()
     ended = lease.Lease(platform, source, 'x', 'a', sole_process=True)
     assert ended.tend()
@@ -118,7 +118,7 @@
 
 def test_time_counts_from_what_the_holder_told():
     """An outage of the store made successors wait from its return."""
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     source = manual_clock.ManualClock()
     holder = lease.Lease(platform, source, 'x', 'a', duration=2.0)
     assert holder.tend()
@@ -129,7 +129,7 @@
 
 
 def test_a_renewal_after_what_the_holder_told_counts():
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     source = manual_clock.ManualClock()
     holder = lease.Lease(platform, source, 'x', 'a', duration=2.0)
     assert holder.tend()
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -4,7 +4,7 @@
 
 from chestnutshunt.mirror import config_view
 from chestnutshunt.mirror import mirror
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 from chestnutshunt.store import stored_object
 
 
@@ -47,9 +47,9 @@
     )
 )
 def test_mirrors_never_go_back_and_agree(actions):
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     mirrors = [mirror.Mirror() for _ in range(3)]
-    lagging = platform.list_objects(['k']).unwrap()
+    lagging = platform.list_kind('k').unwrap()
     truth = {0: {}}
     for action, name, place, other in actions:
         target = mirrors[place]
@@ -62,12 +62,12 @@
                 platform.delete('k', name, version)
             truth[platform.revision] = dict(platform.objects)
         elif action == 'list':
-            lagging = platform.list_objects(['k']).unwrap()
+            lagging = platform.list_kind('k').unwrap()
             target.apply_listing(lagging)
         elif action == 'lagging list':
             target.apply_listing(lagging)
         elif action == 'watch':
-            changes = platform.watch(['k'], target.revision, 0).unwrap()
+            changes = platform.watch_kind('k', target.revision, 0).unwrap()
             target.apply(mirror.Changes(changes.revision, changes.objects))
         else:
             target.apply(mirrors[other].changes_since(target.revision))
--- a/tests/test_shard_log.py
+++ b/tests/test_shard_log.py
@@ -9,7 +9,7 @@
 from chestnutshunt.ledger import entry
 from chestnutshunt.ledger import shard_log
 from chestnutshunt import manual_clock
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 
 
 def wanted(clock, identity, nonce, window=60.0, released=False):
@@ -26,7 +26,7 @@
 
 def make(count=2):
     clock = manual_clock.ManualClock()
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     logs = [shard_log.ShardLog(platform, clock, 0) for _ in range(count)]
     return clock, platform, logs
 
--- a/tests/test_share_keeper.py
+++ b/tests/test_share_keeper.py
@@ -9,14 +9,14 @@
 from chestnutshunt.admission import water_fill
 from chestnutshunt import errors
 from chestnutshunt import manual_clock
-from chestnutshunt.store import memory_client
+from chestnutshunt.store import memory_store
 
 LIMIT = share.Share(requests=100.0, tokens=1000.0, concurrency=12.0)
 
 
 def make(count):
     clock = manual_clock.ManualClock()
-    platform = memory_client.MemoryClient()
+    platform = memory_store.MemoryStore()
     keepers = [
         share_keeper.ShareKeeper(platform, clock, 'w', f'd{number}/1')
         for number in range(count)
@@ -40,7 +40,7 @@
 
 def adjust(keeper, limit=LIMIT, gone=frozenset()):
     """Adjust with what a mirror that does not lag would show."""
-    seen = keeper.platform.objects.get(('share', 'w'))
+    seen = keeper.store.objects.get(('share', 'w'))
     keeper.adjust(seen, limit, set(gone))
 
 
