--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/usage_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/usage_duty.py
@@ -27,8 +27,6 @@
 LOOK_BACK = 3
 """Windows before the current one that a new holder looks after."""
 
-ABSENT = 0
-
 
 class UsageDuty(fleet_duty.FleetDuty):
     """Freezes windows by a conditional create and reports them.
@@ -113,7 +111,7 @@
         counts = self.state.counts.sum_of(window)
         value = {'counts': counts, 'by': self.state.config.name}
         name = str(window)
-        match self.store.put(USAGE_KIND, name, value, ABSENT):
+        match self.store.put(USAGE_KIND, name, value, object_store.ABSENT):
             case result.Success():
                 return counts
             case result.Failure(errors.Conflict()):
--- a/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
@@ -12,7 +12,6 @@
 
 __all__ = ['accept', 'read_job']
 
-ABSENT = 0
 PART_BYTES = 800_000
 """Items in one object; below the store's bound of 1 MiB."""
 
@@ -33,7 +32,7 @@
     for number, part in enumerate(parts):
         value = {'items': part}
         kind = job_form.items_kind(held.id)
-        match store.put(kind, f'{number:04d}', value, ABSENT):
+        match store.put(kind, f'{number:04d}', value, object_store.ABSENT):
             case result.Success() | result.Failure(errors.Conflict()):
                 pass
             case result.Failure(errors.PlatformUncertain() as exc):
@@ -42,7 +41,7 @@
             case failure:
                 return failure
     value = job_form.encode_job(held, len(parts), ended=False)
-    match store.put(job_form.JOB_KIND, held.id, value, ABSENT):
+    match store.put(job_form.JOB_KIND, held.id, value, object_store.ABSENT):
         case result.Success():
             return result.Success(True)
         case result.Failure(errors.Conflict()):
@@ -62,7 +61,7 @@
     A second create of the same job decides it: one of the two wins, and
     either accepts the job.
     """
-    match store.put(job_form.JOB_KIND, job_id, value, ABSENT):
+    match store.put(job_form.JOB_KIND, job_id, value, object_store.ABSENT):
         case result.Success() | result.Failure(errors.Conflict()):
             return result.Success(True)
         case result.Failure(exc):
--- a/packages/chestnutshunt/chestnutshunt/jobs/result_log.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/result_log.py
@@ -13,7 +13,6 @@
 
 __all__ = ['ResultLog']
 
-ABSENT = 0
 PAGE_BYTES = 700_000
 """Text in one page; below the callers' bound of 1 MB with its quoting."""
 
@@ -128,7 +127,7 @@
             }
             name = segment_name(self.segments)
             began = self.source.monotonic()
-            match self.store.put(self.kind, name, value, ABSENT):
+            match self.store.put(self.kind, name, value, object_store.ABSENT):
                 case outcome.Success(held):
                     self.take(held)
                     self.confirmed_at = max(self.confirmed_at, began)
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -98,14 +98,37 @@
                 if made is not None:
                     found[made.id] = made
             self.note_lapsed(found)
-            self.replicas = found
             for made in found.values():
-                state = self.state(made)
-                for model, version in made.versions.items():
-                    held_version = state.versions.get(model, 0)
-                    state.versions[model] = max(version, held_version)
+                self.take_versions(made, self.replicas.get(made.id))
+            self.replicas = found
             self.drop_states()
 
+    def take_versions(
+        self, made: replica.Replica, before: replica.Replica | None
+    ) -> None:
+        """Take over the weight versions that a target registers.
+
+        A registration lags behind what answers and orders show, so an older
+        version counts only if the target itself had registered a newer one:
+        an order from before a restart has then taken it back.
+        """
+        versions = self.state(made).versions
+        same_start = before is not None and before.start == made.start
+        for model, version in made.versions.items():
+            if same_start and version < before.versions.get(model, 0):
+                LOG.warning(
+                    'A target went back to older weights',
+                    extra={
+                        'target': made.id,
+                        'model': model,
+                        'version': version,
+                        'before': before.versions[model],
+                    },
+                )
+                versions[model] = version
+            else:
+                versions[model] = max(version, versions.get(model, 0))
+
     def note_lapsed(self, found: dict[str, replica.Replica]) -> None:
         """Keep targets for a while that are missing after an outage."""
         if self.mirror.gap_s < OUTAGE_S:
--- a/tests/fleet_parts.py
+++ b/tests/fleet_parts.py
@@ -33,6 +33,7 @@
                 'address': held.address,
                 'zone': held.datacentre,
                 'slots': held.slots,
+                'born': held.started,
                 'state': 'draining' if held.leaving else 'ready',
                 'models': [
                     {'name': name, 'version': version}
--- a/tests/replicas/test_replica_view.py
+++ b/tests/replicas/test_replica_view.py
@@ -12,7 +12,10 @@
 
 def decode(held):
     return replica.Replica(
-        id=held.name, service='s', address='127.0.0.1:1', slots=2, **held.value
+        id=held.name,
+        service='s',
+        address='127.0.0.1:1',
+        **{'slots': 2, **held.value},
     )
 
 
@@ -113,3 +116,20 @@
     for _ in range(20):
         held.view.note_event(held.view.replicas['x'], 0.4)
     assert held.view.choose_engine('s', 'm', 1).id == 'y'
+
+
+def test_a_registration_that_lags_does_not_hide_a_newer_version():
+    held = View(x={**A, 'versions': {'m': 1}})
+    target = held.view.all()[0]
+    held.view.note_version(target, 'm', 2)
+    held.register(x={**A, 'versions': {'m': 1}, 'slots': 2})
+    assert held.view.has_version(target, 'm', 2)
+
+
+def test_a_target_that_registers_an_older_version_than_before_has_it():
+    """An order from before its restart took it back; nobody saw that."""
+    held = View(x={**A, 'versions': {'m': 3}})
+    held.register(x={**A, 'versions': {'m': 2}})
+    target = held.view.all()[0]
+    assert not held.view.has_version(target, 'm', 3)
+    assert held.view.with_versions(target).versions == {'m': 2}
