Log which job a call without an id of its own asked for

A read of results that was refused left an 'Answered' line with an empty request id and no job, so it could not be traced from the trainer's side.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -90,7 +90,6 @@
         call = self.speech.call_of(
             request.method, request.target, request.headers
         )
-        kind = type(call).__name__
         error = ''
         try:
             answer = self.serve(call, request)
@@ -102,18 +101,19 @@
             answer = refuse(errors.ChestnutshuntError(repr(exc)))
             error = repr(exc)
         seconds = self.state.clock.monotonic() - request.arrived_at
-        self.note(request, kind, answer.status, seconds, error)
+        self.note(request, call, answer.status, seconds, error)
         return answer
 
     def note(
         self,
         request: caller_request.CallerRequest,
-        kind: str,
+        call: calls.Call,
         status: int,
         seconds: float,
         error: str,
     ) -> None:
         """Log an answer and count it."""
+        kind = type(call).__name__
         self.state.metrics.requests.labels(kind, str(status)).inc()
         self.state.metrics.request_seconds.labels(kind).observe(seconds)
         if kind in ('ReadJob', 'ReadItem') and status == 200:
@@ -124,6 +124,7 @@
             extra={
                 'request': self.speech.request_id(request.headers),
                 'call': kind,
+                'asked': attrs.asdict(call),
                 'status': status,
                 'seconds': round(seconds, 4),
                 'config': held.version if held else None,
