Follow up a lost reply of the store at once, in acceptance and in listing

Acceptance then refused the job because of its items' reply, though creating the same items again is harmless; the trainer was refused twice, left in doubt once, and had its 202 after 3.5 s.

Now each create is made twice before a caller is refused, and a segment is tried again at once; tries that fail quickly keep 0.4 s apart, so that a store that refuses is not flooded.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_run.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_run.py
@@ -28,8 +28,9 @@
 """Seconds since the last look at the store for which this daemon may say that
 there is no result yet; a listed one has to be seen everywhere within 1."""
 
-RETRY_S = 0.25
-"""Seconds after a segment could not be written."""
+RETRY_S = 0.4
+"""Seconds from one try to write a segment to the next; one that gets no reply
+takes longer than that by itself."""
 
 
 class JobRun:
@@ -114,9 +115,20 @@
         while not self.is_done and not self.ended.is_set():
             self.wake.wait(1.0)
             self.wake.clear()
-            if not self.pending:
-                continue
-            self.source.sleep(GATHER_S)
+            if self.pending:
+                self.source.sleep(GATHER_S)
+                self.list_pending()
+            if self.pending:
+                self.wake.set()
+
+    def list_pending(self) -> None:
+        """List what is pending, again and again until the store takes it.
+
+        A call whose reply was lost has used up its time, so the next one
+        follows at once; whether it was done shows when the log is read.
+        """
+        while self.pending and not self.ended.is_set():
+            began = self.source.monotonic()
             with self.lock:
                 batch = list(self.pending)
             match self.log.append(batch):
@@ -132,6 +144,7 @@
                             'total': len(self.states),
                         },
                     )
+                    return
                 case outcome.Failure(exc):
                     LOG.warning(
                         'Results not listed yet',
@@ -141,9 +154,9 @@
                             'error': exc.message,
                         },
                     )
-                    self.source.sleep(RETRY_S)
-            if self.pending:
-                self.wake.set()
+            taken_s = self.source.monotonic() - began
+            if taken_s < RETRY_S:
+                self.source.sleep(RETRY_S - taken_s)
 
     def page(self, after: int, wait_s: float) -> job_page.JobPage:
         """Return listed results, waiting for one if there is none.
--- a/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
@@ -9,12 +9,17 @@
 from chestnutshunt.jobs import job
 from chestnutshunt.jobs import job_form
 from chestnutshunt.store import object_store
+from chestnutshunt.store import stored_object
 
 __all__ = ['accept', 'read_job']
 
 PART_BYTES = 800_000
 """Items in one object; below the store's bound of 1 MiB."""
 
+TRIES = 2
+"""Calls to create an object of which no reply says whether it is there; each
+takes half a second, and a caller that is refused comes back no sooner."""
+
 
 def accept(
     store: object_store.ObjectStore, held: job.Job
@@ -32,7 +37,7 @@
     for number, part in enumerate(parts):
         value = {'items': part}
         kind = job_form.items_kind(held.id)
-        match store.put(kind, f'{number:04d}', value, object_store.ABSENT):
+        match create(store, kind, f'{number:04d}', value):
             case result.Success() | result.Failure(errors.Conflict()):
                 pass
             case result.Failure(errors.PlatformUncertain() as exc):
@@ -52,6 +57,22 @@
             return failure
 
 
+def create(
+    store: object_store.ObjectStore, kind: str, name: str, value: dict
+) -> result.Result[stored_object.StoredObject, errors.ChestnutshuntError]:
+    """Create an object, once more if there is no reply.
+
+    Whoever creates it under this name writes the same, so that `Conflict`
+    means that it is there.
+    """
+    made = store.put(kind, name, value, object_store.ABSENT)
+    for _ in range(TRIES - 1):
+        match made:
+            case result.Failure(errors.PlatformUncertain()):
+                made = store.put(kind, name, value, object_store.ABSENT)
+    return made
+
+
 def settle(
     store: object_store.ObjectStore, job_id: str, value: dict
 ) -> result.Result[bool, errors.ChestnutshuntError]:
@@ -61,7 +82,7 @@
     A second create of the same job decides it: one of the two wins, and
     either accepts the job.
     """
-    match store.put(job_form.JOB_KIND, job_id, value, object_store.ABSENT):
+    match create(store, job_form.JOB_KIND, job_id, value):
         case result.Success() | result.Failure(errors.Conflict()):
             return result.Success(True)
         case result.Failure(exc):
--- a/tests/jobs/test_acceptance.py
+++ b/tests/jobs/test_acceptance.py
@@ -90,3 +90,25 @@
             pass
         case other:
             raise AssertionError(other)
+
+
+def test_a_lost_reply_for_the_items_refuses_nothing():
+    """A trainer was refused twice so, and waited 3.5 s for a job."""
+    store = memory_store.MemoryStore()
+    store.lose_replies = 1
+    assert acceptance.accept(store, make_job()).unwrap() is True
+
+
+def test_two_lost_replies_for_the_acceptance_are_settled():
+    store = late_store.LateStore()
+    original = store.put
+    lost = []
+
+    def hold_two(kind, name, value, expected):
+        if kind == job_form.JOB_KIND and len(lost) < 2:
+            lost.append(name)
+            store.hold_next = True
+        return original(kind, name, value, expected)
+
+    store.put = hold_two
+    assert acceptance.accept(store, make_job()).unwrap() is True
