Count what one fault breaks at a target as one fault

The breaker counted each as a failure in a row, and each beyond the third doubled the ejection: the target, sound and taking its orders of weights, got nothing for 30 s, half of what served its model.

--- a/packages/chestnutshunt/chestnutshunt/routing/breaker.py
+++ b/packages/chestnutshunt/chestnutshunt/routing/breaker.py
@@ -41,8 +41,14 @@
                 self.ejections = 0
 
     def failed(self) -> None:
-        """Note a failure; a series of them ejects the target."""
+        """Note a failure; a series of them ejects the target.
+
+        A failure during an ejection is of a request sent before it, and
+        most likely of the same cause.
+        """
         with self.lock:
+            if not self.allows():
+                return
             self.failures += 1
             if self.failures < FAILURES_TO_EJECT:
                 return
