--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -158,7 +158,7 @@
         with self.lock:
             if held.start not in self.states:
                 self.states[held.start] = replica_state.ReplicaState(
-                    breaker.Breaker(self.source)
+                    breaker.Breaker(self.source, held.id)
                 )
             return self.states[held.start]
 
--- a/packages/chestnutshunt/chestnutshunt/routing/breaker.py
+++ b/packages/chestnutshunt/chestnutshunt/routing/breaker.py
@@ -1,11 +1,14 @@
 """Ejection of failing targets and their return by probing."""
 
+import logging
 import threading
 
 from chestnutshunt import clock
 
 __all__ = ['Breaker']
 
+LOG = logging.getLogger(__name__)
+
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION = 1.0
 """Seconds."""
@@ -20,10 +23,13 @@
     ----------
     source : Clock
         Clock for the length of an ejection.
+    name : str, optional
+        The target, for the log.
     """
 
-    def __init__(self, source: clock.Clock) -> None:
+    def __init__(self, source: clock.Clock, name: str = '') -> None:
         self.source = source
+        self.name = name
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
@@ -37,6 +43,8 @@
         """Note a success, which ends a series of failures."""
         if self.failures or self.ejections:
             with self.lock:
+                if self.ejections:
+                    LOG.info('Target works again', extra={'target': self.name})
                 self.failures = 0
                 self.ejections = 0
 
@@ -57,3 +65,11 @@
             self.failures = FAILURES_TO_EJECT - 1
             pause = min(length, LONGEST_EJECTION)
             self.ejected_until = self.source.monotonic() + pause
+            LOG.warning(
+                'Target ejected',
+                extra={
+                    'target': self.name,
+                    'seconds': pause,
+                    'ejections': self.ejections,
+                },
+            )
--- a/packages/chestnutshunt/chestnutshunt/routing/load_view.py
+++ b/packages/chestnutshunt/chestnutshunt/routing/load_view.py
@@ -45,7 +45,7 @@
         found = self.loads.get(target)
         if found is None:
             with self.lock:
-                made = TargetLoad(breaker.Breaker(self.source))
+                made = TargetLoad(breaker.Breaker(self.source, target))
                 found = self.loads.setdefault(target, made)
         return found
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,5 +1,7 @@
 """Ejection of targets: one fault that breaks many requests is one fault."""
 
+import logging
+
 import pytest
 
 from chestnutshunt import manual_clock
@@ -8,7 +10,7 @@
 
 @pytest.fixture
 def held():
-    return breaker.Breaker(manual_clock.ManualClock())
+    return breaker.Breaker(manual_clock.ManualClock(), 't1')
 
 
 def ejected_s(held):
@@ -53,3 +55,15 @@
     assert held.allows()
     held.failed()
     assert ejected_s(held) == breaker.FIRST_EJECTION
+
+
+def test_an_ejection_and_its_end_are_logged_once_each(held, caplog):
+    """Without a line, an idle target could not be explained afterwards."""
+    with caplog.at_level(logging.INFO):
+        fail(held, 12)
+        held.source.advance(1.0)
+        held.succeeded()
+        held.succeeded()
+    lines = [(x.msg, x.target) for x in caplog.records]
+    assert lines == [('Target ejected', 't1'), ('Target works again', 't1')]
+    assert caplog.records[0].seconds == breaker.FIRST_EJECTION
