Let a stream that begins end a series of failures of its target

The breaker heard of streams only when they failed, so on a service that only streams three failures in all ejected a target, and each later one doubled the time up to 30 s. The new test in tests/targets failed before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -122,6 +122,8 @@
                     },
                 )
                 continue
+            if answer.facts.status < 500:
+                self.state.replicas.state(chosen).breaker.succeeded()
             stack.enter_context(attempt)
             return answer
 
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -103,6 +103,28 @@
         assert b''.join(stream(False, one, two).chunks) == text(1)
 
 
+def test_a_stream_that_begins_ends_a_series_of_failures(target):
+    """Without it, rare failures added up until a target was left alone."""
+    one = target('t1', fake_target.events(1))
+    state = fleet_parts.make_state()
+    fleet_parts.register(state, one.replica())
+    made = stream_forwarder.StreamForwarder(
+        state, fleet_parts.make_exchanger(state), random.Random(1)
+    )
+    guard = state.replicas.state(one.replica()).breaker
+    guard.failed()
+    guard.failed()
+    request = target_request.TargetRequest(
+        'q1', 'POST', '/p/', 'h', (), b'', 'w', state.clock.monotonic() + 5
+    )
+    found = made.open(
+        request, make_route(False), cutter.Cutter(), lambda: True
+    )
+    assert b''.join(found.chunks) == text(1)
+    guard.failed()
+    assert guard.allows()
+
+
 def test_not_run_is_said_when_all_are_busy(target):
     one = target('t1', fake_target.refuse)
     with pytest.raises(errors.NoTarget):
