Treat a call on a closed channel as any other failed call

The log has the cause: the thread that makes a run's steps ended with 'ValueError: Cannot invoke RPC on closed channel!'. A link that fails closes its channel while another thread may hold a stub of it; callers expect RpcError. Steps were then 'being made' for good. In daemons on the users' platform the same call could answer 500 for a job that had been accepted.

The thread of a run survives what is not foreseen and logs it. Ruled out: load alone (the daemon was idle from then on).

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/coordinator.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/coordinator.py
@@ -178,6 +178,10 @@
                     continue
             except errors.ChestnutshuntError as exc:
                 LOG.warning('Run %s: %s', self.run, exc)
+            except Exception:
+                LOG.exception(
+                    'Run %s: a step failed and is tried anew', self.run
+                )
             with self.changed:
                 self.changed.wait(IDLE_PERIOD)
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_clients.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_clients.py
@@ -6,6 +6,7 @@
 
 import grpc
 
+from chestnutshunt_daemon import peer_channel
 from chestnutshunt_daemon.wire import peer_pb2_grpc
 
 __all__ = ['CHANNEL_OPTIONS', 'PeerClients']
@@ -35,18 +36,21 @@
     """
 
     def __init__(
-        self, make_stub: Callable[[grpc.Channel], Any] = peer_pb2_grpc.PeerStub
+        self,
+        make_stub: Callable[
+            [peer_channel.PeerChannel], Any
+        ] = peer_pb2_grpc.PeerStub,
     ) -> None:
         self.make_stub = make_stub
-        self.channels: dict[str, grpc.Channel] = {}
+        self.channels: dict[str, peer_channel.PeerChannel] = {}
         self.lock = threading.Lock()
 
     def stub(self, address: str) -> Any:
         """Return a client of the daemon at an address."""
         with self.lock:
             if address not in self.channels:
-                self.channels[address] = grpc.insecure_channel(
-                    address, options=CHANNEL_OPTIONS
+                self.channels[address] = peer_channel.PeerChannel(
+                    grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
                 )
             return self.make_stub(self.channels[address])
 
