Keep a run going when its lease lapses between a call and a look

The log: the platform goes away at 08:30:02.6, the last renewal fails before the lease's end at 08:30:04.4, and at 04.450 'No longer holding run/coats'. Only a call that fails after the lapse shows an outage; the look came in between and ended the work, for the whole outage. The duty now calls once more; tests/test_duties.py failed before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/duties.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/duties.py
@@ -104,7 +104,11 @@
             self.drop(name)
             return
         duty.charge.tend()
-        if not (duty.charge.held or duty.charge.orphaned):
+        if duty.work is not None and not is_going_on(duty.charge):
+            # It lapsed while the renewal failed. Only a call after that
+            # tells an outage from a lease that another has taken.
+            duty.charge.tend()
+        if not is_going_on(duty.charge):
             self.stop_work(name, duty)
         elif duty.work is None:
             LOG.info('Holding %s', name)
@@ -152,3 +156,8 @@
         duty = self.duties.pop(name)
         self.stop_work(name, duty)
         duty.charge.release()
+
+
+def is_going_on(charge: lease.Lease) -> bool:
+    """Tell whether a duty is held, or nobody can be known to have it."""
+    return charge.held or charge.orphaned
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,72 @@
+"""What becomes of a duty's work when its lease lapses."""
+
+import pytest
+
+from chestnutshunt.duties import memory_duty_platform
+from chestnutshunt import manual_clock
+from chestnutshunt.membership import member
+from chestnutshunt.store import adapter
+from chestnutshunt.store import memory_store
+from chestnutshunt_daemon import duties
+from chestnutshunt_daemon import node
+from chestnutshunt_daemon import settings
+
+
+class Work:
+    def __init__(self):
+        self.ended = False
+
+    def stop(self):
+        self.ended = True
+
+
+@pytest.fixture
+def held():
+    config = settings.DaemonSettings(
+        name='own',
+        datacentre='near',
+        caller_address='127.0.0.1:1',
+        peer_address='127.0.0.1:2',
+        admin_address='127.0.0.1:3',
+        platform_url='http://127.0.0.1:4',
+        lease_s=2.0,
+    )
+    clock = manual_clock.ManualClock()
+    platform = adapter.Platform.of(
+        memory_store.MemoryStore(), memory_duty_platform.MemoryDutyPlatform()
+    )
+    own = member.Member('own', 'x', 'near', 'own:1')
+    made = duties.Duties(node.Node(config, platform, own, clock))
+    made.work = Work()
+    duty = duties.Duty(made.make_lease(duties.USAGE_DUTY), made.work)
+    made.duties[duties.USAGE_DUTY] = duty
+    assert duty.charge.tend()
+    return made
+
+
+def test_a_lease_that_lapses_right_after_its_renewal_failed(held):
+    """A run's steps stopped for a whole outage of the platform."""
+    held.held.store.store.down = True
+    charge = held.duties[duties.USAGE_DUTY].charge
+    tend = charge.tend
+
+    def tend_then_wait():
+        tend()
+        held.held.clock.advance(0.1)
+        charge.tend = tend
+
+    charge.tend = tend_then_wait
+    held.held.clock.advance(1.75)
+    held.tend_one(duties.USAGE_DUTY, True)
+    assert charge.orphaned
+    assert not held.work.ended
+
+
+def test_a_lease_that_another_has_taken_ends_the_work(held):
+    held.held.clock.advance(2.5)
+    other = held.make_lease(duties.USAGE_DUTY)
+    other.tend()
+    held.held.clock.advance(2.5)
+    assert other.tend()
+    held.tend_one(duties.USAGE_DUTY, True)
+    assert held.work.ended
