Have one piece where the daemons, their links and the tests had twins

One supervised_thread, LinkThread, put_changed, head_failures and body_failures serve both daemons; a store call is one value instead of five arguments; the in-memory store changes objects in one place; models and daemon tests share their parts.

Behaviour is the same but for one thing: in chestnutshuntd a ValueError while a target's body is read is now a failed target, as it was on the platform, and no longer a fault of our own.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -1,11 +1,9 @@
 """A whole daemon, from its settings to its end."""
 
-from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import logging
 import secrets
-import threading
 
 from chestnutshunt.membership import member
 from chestnutshunt import steps
@@ -21,6 +19,7 @@
 from chestnutshunt_daemon import peer_server
 from chestnutshunt_daemon import relay
 from chestnutshunt_daemon import settings
+from chestnutshunt_daemon import supervised_thread
 from chestnutshunt_daemon import usage_counter
 
 __all__ = ['drain', 'make_node', 'running']
@@ -28,7 +27,6 @@
 LOG = logging.getLogger(__name__)
 
 ADMIN_THREADS = 4
-RESTART_DELAY = 1.0
 LEAVING_NOTICE = 1.5
 """Seconds in which peers and the balancer hear of a shutdown."""
 
@@ -59,12 +57,30 @@
         stack.callback(held.connections.close)
         stack.callback(held.peers.close)
         stack.enter_context(peer_server.peer_server(held))
-        stack.enter_context(thread_of(held, mesh.run, 'mesh'))
-        stack.enter_context(thread_of(held, follower.run, 'relay'))
-        stack.enter_context(thread_of(held, held.limits.run, 'limits'))
+        stack.enter_context(
+            supervised_thread.supervised_thread(held.stopped, mesh.run, 'mesh')
+        )
+        stack.enter_context(
+            supervised_thread.supervised_thread(
+                held.stopped, follower.run, 'relay'
+            )
+        )
+        stack.enter_context(
+            supervised_thread.supervised_thread(
+                held.stopped, held.limits.run, 'limits'
+            )
+        )
         trimmer = ledger_trimmer.LedgerTrimmer(held)
-        stack.enter_context(thread_of(held, trimmer.run, 'trimmer'))
-        stack.enter_context(thread_of(held, duties.Duties(held).run, 'duties'))
+        stack.enter_context(
+            supervised_thread.supervised_thread(
+                held.stopped, trimmer.run, 'trimmer'
+            )
+        )
+        stack.enter_context(
+            supervised_thread.supervised_thread(
+                held.stopped, duties.Duties(held).run, 'duties'
+            )
+        )
         stack.enter_context(
             http_server.http_server(
                 config.admin_address,
@@ -85,29 +101,6 @@
         yield held
 
 
-@contextlib.contextmanager
-def thread_of(
-    held: node.Node, run: Callable[[], None], name: str
-) -> Iterator[threading.Thread]:
-    """Run a thread until the daemon stops; a failure is logged."""
-
-    def supervise() -> None:
-        while not held.stopped.is_set():
-            try:
-                run()
-            except Exception:
-                LOG.exception('The thread %s failed and is started anew', name)
-                held.stopped.wait(RESTART_DELAY)
-
-    thread = threading.Thread(target=supervise, name=name, daemon=True)
-    thread.start()
-    try:
-        yield thread
-    finally:
-        held.stopped.set()
-        thread.join(1)
-
-
 def drain(held: node.Node) -> None:
     """Refuse new work and wait until the last request has ended."""
     LOG.info('Draining: %d requests in flight', held.in_flight)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -5,7 +5,6 @@
 import contextlib
 import logging
 import random
-import threading
 
 import attrs
 
@@ -36,6 +35,7 @@
 from chestnutshunt_daemon.peers import fleet_mesh
 from chestnutshunt_daemon.peers import fleet_service
 from chestnutshunt_daemon.peers import relayed_store
+from chestnutshunt_daemon import supervised_thread
 from chestnutshunt_daemon.targets import exchange
 from chestnutshunt_daemon.targets import forwarder
 from chestnutshunt_daemon.targets import stream_forwarder
@@ -62,8 +62,8 @@
 RARE_PERIOD_S = 3.0
 """Seconds for what changes with the VMs."""
 
-RESTART_S = 1.0
-"""Seconds until a thread that failed is started anew."""
+JOIN_S = 0.5
+"""Seconds that a thread has left to end, within the margin below."""
 
 STOP_MARGIN_S = 1.0
 """Seconds before the platform kills a process that is shutting down."""
@@ -176,7 +176,11 @@
             )
             loops[f'read-{kind}'] = reader.run
         for name, run in loops.items():
-            stack.enter_context(thread_of(state, run, name))
+            stack.enter_context(
+                supervised_thread.supervised_thread(
+                    state.stopped, run, name, JOIN_S
+                )
+            )
         front = front_service.FrontService(
             state,
             adapter.caller_form,
@@ -238,29 +242,6 @@
         )
 
 
-@contextlib.contextmanager
-def thread_of(
-    state: fleet_state.FleetState, run: Callable[[], None], name: str
-) -> Iterator[None]:
-    """Run a thread until the daemon stops; a failure is logged."""
-
-    def supervise() -> None:
-        while not state.stopped.is_set():
-            try:
-                run()
-            except Exception:
-                LOG.exception('The thread %s failed and is started anew', name)
-                state.stopped.wait(RESTART_S)
-
-    thread = threading.Thread(target=supervise, name=name, daemon=True)
-    thread.start()
-    try:
-        yield
-    finally:
-        state.stopped.set()
-        thread.join(0.5)
-
-
 def drain(daemon: Running) -> None:
     """Serve what is open, take nothing new, and return before the kill."""
     state = daemon.state
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_link.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_link.py
@@ -1,10 +1,10 @@
 """One thread for each peer that this daemon calls."""
 
 import logging
-import threading
 
 import grpc
 
+from chestnutshunt_daemon import link_thread
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_service
 
@@ -18,7 +18,7 @@
 RETRY_DELAY = 0.3
 
 
-class PeerLink:
+class PeerLink(link_thread.LinkThread):
     """Exchanges heartbeats with one peer until it is closed.
 
     Each is one call with a deadline. A stream would be held open instead, but
@@ -34,22 +34,8 @@
     """
 
     def __init__(self, held: node.Node, address: str) -> None:
+        super().__init__(address)
         self.held = held
-        self.address = address
-        self.closed = threading.Event()
-        self.wake = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name=f'peer-{address}', daemon=True
-        )
-
-    def start(self) -> None:
-        """Start the thread of this link."""
-        self.thread.start()
-
-    def close(self) -> None:
-        """Let the thread end."""
-        self.closed.set()
-        self.wake.set()
 
     def run(self) -> None:
         """Exchange heartbeats; a silent connection is replaced."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_mesh.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_mesh.py
@@ -8,6 +8,7 @@
 from chestnutshunt.membership import member
 from chestnutshunt.mirror import mirror
 from chestnutshunt.routing import rendezvous
+from chestnutshunt.store import put_changed
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import peer_link
 
@@ -117,16 +118,8 @@
 def publish_member(held: node.Node) -> bool:
     """Write this daemon's member object; return True on success."""
     own = held.own
-    match held.store.get(member.MEMBER_KIND, own.name):
-        case result.Success(found):
-            pass
-        case _:
-            return False
-    if found is not None and found.value == own.encode():
-        return True
-    expected = found.version if found else 0
-    written = held.store.put(
-        member.MEMBER_KIND, own.name, own.encode(), expected
+    written = put_changed.put_changed(
+        held.store, member.MEMBER_KIND, own.name, own.encode()
     )
     return isinstance(written, result.Success)
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_link.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_link.py
@@ -1,11 +1,11 @@
 """One thread for each peer that this daemon calls."""
 
 import logging
-import threading
 
 import grpc
 
 from chestnutshunt_daemon.fleet import fleet_state
+from chestnutshunt_daemon import link_thread
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.peers import heartbeat
@@ -22,7 +22,7 @@
 """Seconds before a peer that does not answer is called again."""
 
 
-class FleetLink:
+class FleetLink(link_thread.LinkThread):
     """Exchanges heartbeats with one peer until it is closed.
 
     Parameters
@@ -41,26 +41,12 @@
         clients: peer_clients.PeerClients,
         address: str,
     ) -> None:
+        super().__init__(address)
         self.state = state
         self.clients = clients
-        self.address = address
         self.peer = ''
         self.reached = False
         self.echo_s = 0.0
-        self.closed = threading.Event()
-        self.wake = threading.Event()
-        self.thread = threading.Thread(
-            target=self.run, name=f'peer-{address}', daemon=True
-        )
-
-    def start(self) -> None:
-        """Start the thread of this link."""
-        self.thread.start()
-
-    def close(self) -> None:
-        """Let the thread end."""
-        self.closed.set()
-        self.wake.set()
 
     def run(self) -> None:
         """Exchange heartbeats; a silent connection is replaced."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_mesh.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_mesh.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from chestnutshunt.store import object_store
+from chestnutshunt.store import put_changed
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.peers import fleet_link
@@ -99,17 +100,9 @@
             'address': config.peer_address,
             'datacentre': config.datacentre,
         }
-        kind = fleet_state.DAEMON_KIND
-        match self.store.get(kind, config.name):
-            case result.Success(None):
-                expected = 0
-            case result.Success(found):
-                if found.value == value:
-                    return True
-                expected = found.version
-            case _:
-                return False
-        written = self.store.put(kind, config.name, value, expected)
+        written = put_changed.put_changed(
+            self.store, fleet_state.DAEMON_KIND, config.name, value
+        )
         return isinstance(written, result.Success)
 
     def review(self) -> None:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/relayed_store.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/relayed_store.py
@@ -1,6 +1,5 @@
 """Store that is reached through a peer where it turns this VM away."""
 
-import json
 import logging
 from typing import Any
 
@@ -14,6 +13,7 @@
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.peers import peer_facts
+from chestnutshunt_daemon.peers import store_call
 from chestnutshunt_daemon.peers import store_codec
 from chestnutshunt_daemon.wire import fleet_pb2
 
@@ -60,58 +60,50 @@
         self, kind: str, name: str
     ) -> result.Result[stored_object.StoredObject | None, Failed]:
         """Read one object; ``None`` when there is none."""
-        return self.call('get', kind, name)
+        return self.call(store_call.StoreCall('get', kind, name))
 
     def list_kind(self, kind: str) -> result.Result[listing.Listing, Failed]:
         """List all objects of a kind."""
-        return self.call('list_kind', kind)
+        return self.call(store_call.StoreCall('list_kind', kind))
 
     def put(
         self, kind: str, name: str, value: dict[str, Any], expected: int
     ) -> result.Result[stored_object.StoredObject, Failed]:
         """Write an object if its version is `expected`, 0 for absent."""
-        return self.call('put', kind, name, value, expected)
+        return self.call(
+            store_call.StoreCall('put', kind, name, value, expected)
+        )
 
     def put_status(
         self, kind: str, name: str, status: dict[str, Any], expected: int
     ) -> result.Result[stored_object.StoredObject, Failed]:
         """Write what the system says about an operator's object."""
-        return self.call('put_status', kind, name, status, expected)
+        return self.call(
+            store_call.StoreCall('put_status', kind, name, status, expected)
+        )
 
     def delete(
         self, kind: str, name: str, expected: int
     ) -> result.Result[int, Failed]:
         """Delete an object if its version is `expected`."""
-        return self.call('delete', kind, name, None, expected)
+        return self.call(
+            store_call.StoreCall('delete', kind, name, None, expected)
+        )
 
-    def call(
-        self,
-        operation: str,
-        kind: str,
-        name: str = '',
-        value: dict[str, Any] | None = None,
-        expected: int = 0,
-    ) -> result.Result[Any, Failed]:
+    def call(self, call: store_call.StoreCall) -> result.Result[Any, Failed]:
         """Make a call on the first way that takes it."""
         relays = self.relays()
         if self.state.store_s >= 0 or not relays:
-            outcome = self.call_direct(operation, kind, name, value, expected)
+            outcome = self.call_direct(call)
             if not relays or not is_refused(outcome):
                 return outcome
-        return self.relay(relays, operation, kind, name, value, expected)
+        return self.relay(relays, call)
 
     def call_direct(
-        self,
-        operation: str,
-        kind: str,
-        name: str,
-        value: dict[str, Any] | None,
-        expected: int,
+        self, call: store_call.StoreCall
     ) -> result.Result[Any, Failed]:
         """Call the store itself."""
-        outcome = store_codec.call_store(
-            self.direct, operation, kind, name, value, expected
-        )
+        outcome = store_codec.call_store(self.direct, call)
         match outcome:
             case result.Failure(
                 errors.PlatformUnavailable()
@@ -122,7 +114,7 @@
                 label = 'failed'
             case _:
                 label = 'ok'
-        self.state.metrics.store_calls.labels(operation, label).inc()
+        self.state.metrics.store_calls.labels(call.operation, label).inc()
         return outcome
 
     def relays(self) -> list[peer_facts.PeerFacts]:
@@ -133,40 +125,25 @@
         return found[:MAX_RELAYS]
 
     def relay(
-        self,
-        relays: list[peer_facts.PeerFacts],
-        operation: str,
-        kind: str,
-        name: str,
-        value: dict[str, Any] | None,
-        expected: int,
+        self, relays: list[peer_facts.PeerFacts], call: store_call.StoreCall
     ) -> result.Result[Any, Failed]:
         """Make a call through peers."""
-        message = fleet_pb2.StoreCall(
-            operation=operation,
-            kind=kind,
-            name=name,
-            value=json.dumps(value).encode(),
-            expected=expected,
-        )
+        message = store_codec.encode_call(call)
         outcome: result.Result[Any, Failed] = result.Failure(
             errors.PlatformUnavailable('No peer reaches the store.')
         )
         for peer in relays:
-            outcome = self.ask(peer, operation, message)
+            outcome = self.ask(peer, message)
             label = 'ok' if isinstance(outcome, result.Success) else 'failed'
             self.state.metrics.store_calls.labels(
-                f'relayed_{operation}', label
+                f'relayed_{call.operation}', label
             ).inc()
             if not is_refused(outcome):
                 break
         return outcome
 
     def ask(
-        self,
-        peer: peer_facts.PeerFacts,
-        operation: str,
-        message: fleet_pb2.StoreCall,
+        self, peer: peer_facts.PeerFacts, message: fleet_pb2.StoreCall
     ) -> result.Result[Any, Failed]:
         """Make a call through one peer."""
         try:
@@ -175,10 +152,10 @@
         except grpc.RpcError as exc:
             text = f'{peer.name} did not relay: {exc.code()}.'
             LOG.info('Store call not relayed', extra={'peer': peer.name})
-            if operation in ('get', 'list_kind'):
+            if message.operation in ('get', 'list_kind'):
                 return result.Failure(errors.PlatformUnavailable(text))
             return result.Failure(errors.PlatformUncertain(text))
-        return store_codec.decode_reply(operation, reply)
+        return store_codec.decode_reply(message.operation, reply)
 
 
 def is_refused(outcome: result.Result[Any, Failed]) -> bool:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/store_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/store_codec.py
@@ -10,9 +10,10 @@
 from chestnutshunt.store import object_store
 from chestnutshunt.store import stored_object
 from chestnutshunt_daemon.peers import fleet_codec
+from chestnutshunt_daemon.peers import store_call
 from chestnutshunt_daemon.wire import fleet_pb2
 
-__all__ = ['call_store', 'carry_out', 'decode_reply']
+__all__ = ['call_store', 'carry_out', 'decode_reply', 'encode_call']
 
 ERRORS = {
     kind.kind: kind
@@ -25,39 +26,51 @@
 
 
 def call_store(
-    store: object_store.ObjectStore,
-    operation: str,
-    kind: str,
-    name: str,
-    value: dict[str, Any] | None,
-    expected: int,
+    store: object_store.ObjectStore, call: store_call.StoreCall
 ) -> result.Result[Any, errors.ChestnutshuntError]:
-    """Make the call of a store that an operation names."""
-    match operation:
+    """Make a call of a store."""
+    match call.operation:
         case 'get':
-            return store.get(kind, name)
+            return store.get(call.kind, call.name)
         case 'list_kind':
-            return store.list_kind(kind)
+            return store.list_kind(call.kind)
         case 'put':
-            return store.put(kind, name, value, expected)
+            return store.put(call.kind, call.name, call.value, call.expected)
         case 'put_status':
-            return store.put_status(kind, name, value, expected)
+            return store.put_status(
+                call.kind, call.name, call.value, call.expected
+            )
         case 'delete':
-            return store.delete(kind, name, expected)
-    unknown = errors.PlatformUnavailable(f'Unknown operation {operation}.')
+            return store.delete(call.kind, call.name, call.expected)
+    unknown = errors.PlatformUnavailable(
+        f'Unknown operation {call.operation}.'
+    )
     return result.Failure(unknown)
 
 
+def encode_call(call: store_call.StoreCall) -> fleet_pb2.StoreCall:
+    """Return the message for a call."""
+    return fleet_pb2.StoreCall(
+        operation=call.operation,
+        kind=call.kind,
+        name=call.name,
+        value=json.dumps(call.value).encode(),
+        expected=call.expected,
+    )
+
+
 def carry_out(
-    store: object_store.ObjectStore, call: fleet_pb2.StoreCall
+    store: object_store.ObjectStore, message: fleet_pb2.StoreCall
 ) -> fleet_pb2.StoreReply:
     """Make a store call for a peer."""
-    value = json.loads(call.value)
-    return encode_reply(
-        call_store(
-            store, call.operation, call.kind, call.name, value, call.expected
-        )
+    call = store_call.StoreCall(
+        message.operation,
+        message.kind,
+        message.name,
+        json.loads(message.value),
+        message.expected,
     )
+    return encode_reply(call_store(store, call))
 
 
 def encode_reply(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -19,7 +19,13 @@
 from chestnutshunt_daemon import headers
 from chestnutshunt_daemon import target_error
 
-__all__ = ['CLOSED', 'SILENT', 'TargetAnswer', 'answer_of', 'connect']
+__all__ = [
+    'TargetAnswer',
+    'answer_of',
+    'body_failures',
+    'connect',
+    'head_failures',
+]
 
 CONNECT_TIMEOUT = 1.0
 """Seconds."""
@@ -28,6 +34,57 @@
 CLOSED = (ConnectionError, urllib3.exceptions.ProtocolError)
 
 
+@contextlib.contextmanager
+def head_failures(name: str, reused: bool) -> Iterator[None]:
+    """Turn what breaks an exchange off before its answer into an error.
+
+    Parameters
+    ----------
+    name : str
+        The target.
+    reused : bool
+        True if the connection was kept from an earlier request. Its end then
+        shows nothing about the target.
+
+    Raises
+    ------
+    TargetError
+        The target may have run the request.
+    """
+    sent = progress.Progress.MAY_HAVE_RUN
+    try:
+        yield
+    except CLOSED as exc:
+        message = f'{name} closed: {type(exc).__name__}.'
+        raise target_error.TargetError(
+            message, sent, crashed=not reused, stale=reused
+        ) from exc
+    except SILENT as exc:
+        message = f'{name} is silent: {type(exc).__name__}.'
+        raise target_error.TargetError(message, sent) from exc
+
+
+@contextlib.contextmanager
+def body_failures(name: str) -> Iterator[None]:
+    """Turn what breaks the body of a target's answer off into an error.
+
+    Raises
+    ------
+    TargetError
+        The target has run at least a part of the request.
+    """
+    sent = progress.Progress.MAY_HAVE_RUN
+    try:
+        yield
+    except CLOSED as exc:
+        message = f'{name} broke off: {type(exc).__name__}.'
+        raise target_error.TargetError(message, sent, True) from exc
+    except (*SILENT, ValueError) as exc:
+        # A read from a connection that another thread closes.
+        message = f'{name} fell silent: {type(exc).__name__}.'
+        raise target_error.TargetError(message, sent) from exc
+
+
 @attrs.define(eq=False)
 class TargetAnswer:
     """A target's answer, whose body is still to be read.
@@ -54,15 +111,8 @@
         TargetError
             The body broke off or fell silent.
         """
-        sent = progress.Progress.MAY_HAVE_RUN
-        try:
+        with body_failures(self.name):
             yield from self.response.stream(65536)
-        except CLOSED as exc:
-            message = f'{self.name} broke off: {type(exc).__name__}.'
-            raise target_error.TargetError(message, sent, True) from exc
-        except SILENT as exc:
-            message = f'{self.name} fell silent: {type(exc).__name__}.'
-            raise target_error.TargetError(message, sent) from exc
         self.whole = True
 
 
@@ -190,8 +240,7 @@
     reused: bool,
 ) -> TargetAnswer:
     """Send the request and read the head of the answer."""
-    sent = progress.Progress.MAY_HAVE_RUN
-    try:
+    with head_failures(chosen.name, reused):
         connection.request(
             request.method,
             request.path,
@@ -202,14 +251,6 @@
         )
         steps.reach('target.sent')
         response = connection.getresponse()
-    except CLOSED as exc:
-        message = f'{chosen.name} closed: {type(exc).__name__}.'
-        raise target_error.TargetError(
-            message, sent, crashed=not reused, stale=reused
-        ) from exc
-    except SILENT as exc:
-        message = f'{chosen.name} is silent: {type(exc).__name__}.'
-        raise target_error.TargetError(message, sent) from exc
     head = answer_head.AnswerHead(
         response.status, headers.for_caller(response.headers.items())
     )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -171,7 +171,7 @@
         )
         begun.connection.timeout = SEND_S
         begun.connection.sock.settimeout(SEND_S)
-        with failures_of(begun):
+        with target_call.head_failures(begun.replica.id, begun.reused):
             self.write(begun.connection, request, self.dialect.headers(facts))
 
     def answer(
@@ -180,7 +180,7 @@
         """Read the head of the answer; raises `TargetError`."""
         begun.connection.timeout = silence_s
         begun.connection.sock.settimeout(silence_s)
-        with failures_of(begun):
+        with target_call.head_failures(begun.replica.id, begun.reused):
             response = begun.connection.getresponse()
         begun.answer = self.check(begun, response)
         return begun.answer
@@ -231,23 +231,6 @@
         return target_answer.Answer(facts, passed_on, response, name)
 
 
-@contextlib.contextmanager
-def failures_of(begun: begun_exchange.Begun) -> Iterator[None]:
-    """Turn what breaks an exchange off into a `TargetError`."""
-    name = begun.replica.id
-    sent = progress.Progress.MAY_HAVE_RUN
-    try:
-        yield
-    except target_call.CLOSED as exc:
-        message = f'{name} closed: {type(exc).__name__}.'
-        raise target_error.TargetError(
-            message, sent, crashed=not begun.reused, stale=begun.reused
-        ) from exc
-    except target_call.SILENT as exc:
-        message = f'{name} is silent: {type(exc).__name__}.'
-        raise target_error.TargetError(message, sent) from exc
-
-
 def wait_any(
     begun: Sequence[begun_exchange.Begun], timeout: float
 ) -> list[begun_exchange.Begun]:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_answer.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_answer.py
@@ -5,9 +5,7 @@
 import attrs
 import urllib3
 
-from chestnutshunt.attempts import progress
 from chestnutshunt_daemon import target_call
-from chestnutshunt_daemon import target_error
 from chestnutshunt_daemon.targets import answer_facts
 
 __all__ = ['Answer']
@@ -43,20 +41,13 @@
         TargetError
             The body broke off or fell silent.
         """
-        sent = progress.Progress.MAY_HAVE_RUN
-        try:
+        with target_call.body_failures(self.name):
             if self.response.chunked:
                 yield from self.response.read_chunked(CHUNK_BYTES)
             else:
                 while data := self.response.read1(CHUNK_BYTES):
                     yield data
                 self.check_length()
-        except target_call.CLOSED as exc:
-            message = f'{self.name} broke off: {type(exc).__name__}.'
-            raise target_error.TargetError(message, sent, True) from exc
-        except (*target_call.SILENT, ValueError) as exc:
-            message = f'{self.name} fell silent: {type(exc).__name__}.'
-            raise target_error.TargetError(message, sent) from exc
         self.whole = True
 
     def check_length(self) -> None:
--- a/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
@@ -65,11 +65,12 @@
     Whoever creates it under this name writes the same, so that `Conflict`
     means that it is there.
     """
-    made = store.put(kind, name, value, object_store.ABSENT)
-    for _ in range(TRIES - 1):
+    for _ in range(TRIES):
+        made = store.put(kind, name, value, object_store.ABSENT)
         match made:
             case result.Failure(errors.PlatformUncertain()):
-                made = store.put(kind, name, value, object_store.ABSENT)
+                continue
+        break
     return made
 
 
--- a/packages/chestnutshunt/chestnutshunt/membership/ended_vm.py
+++ b/packages/chestnutshunt/chestnutshunt/membership/ended_vm.py
@@ -3,6 +3,7 @@
 from returns import result
 
 from chestnutshunt.store import object_store
+from chestnutshunt.store import put_changed
 from chestnutshunt.store import stored_object
 
 __all__ = ['VM_KIND', 'list_ended', 'mark_ended']
@@ -15,7 +16,7 @@
 
 def mark_ended(
     store: object_store.ObjectStore, name: str
-) -> result.Result[stored_object.StoredObject | None, object_store.Failed]:
+) -> result.Result[stored_object.StoredObject, object_store.Failed]:
     """Mark the VM of a daemon as gone for good.
 
     Parameters
@@ -25,11 +26,7 @@
     name : str
         Name of the daemon.
     """
-    match store.get(VM_KIND, name):
-        case result.Success(None):
-            return store.put(VM_KIND, name, ENDED, object_store.ABSENT)
-        case found:
-            return found
+    return put_changed.put_changed(store, VM_KIND, name, ENDED)
 
 
 def list_ended(
--- a/packages/chestnutshunt/chestnutshunt/store/memory_store.py
+++ b/packages/chestnutshunt/chestnutshunt/store/memory_store.py
@@ -52,29 +52,29 @@
         self, kind: str, name: str, value: dict[str, Any], expected: int
     ) -> result.Result[stored_object.StoredObject, object_store.Failed]:
         """Write an object if its version is `expected`."""
-        if self.down:
-            return self.unavailable()
-        with self.changed:
-            self.calls += 1
-            if self.held_version(kind, name) != expected:
-                return self.conflict(kind, name)
-            self.revision += 1
-            before = self.objects.get((kind, name))
-            made = stored_object.StoredObject(
-                kind,
-                name,
-                self.revision,
-                dict(value),
-                status=before.status if before else {},
-            )
-            self.objects[made.key] = made
-            self.record(made)
-        return self.reply(made)
+        return self.change(kind, name, expected, value=dict(value))
+
+    def put_status(
+        self, kind: str, name: str, status: dict[str, Any], expected: int
+    ) -> result.Result[stored_object.StoredObject, object_store.Failed]:
+        """Write what the system says about an operator's object."""
+        if expected == object_store.ABSENT and not self.down:
+            return self.conflict(kind, name)
+        return self.change(kind, name, expected, status=status)
 
     def delete(
         self, kind: str, name: str, expected: int
     ) -> result.Result[int, object_store.Failed]:
         """Delete an object if its version is `expected`."""
+        gone = self.change(
+            kind, name, expected, value={}, status={}, deleted=True
+        )
+        return gone.map(lambda held: held.version)
+
+    def change(
+        self, kind: str, name: str, expected: int, **fields: Any
+    ) -> result.Result[stored_object.StoredObject, object_store.Failed]:
+        """Give an object other fields if its version is `expected`."""
         if self.down:
             return self.unavailable()
         with self.changed:
@@ -82,12 +82,14 @@
             if self.held_version(kind, name) != expected:
                 return self.conflict(kind, name)
             self.revision += 1
-            self.objects.pop((kind, name), None)
-            gone = stored_object.StoredObject(
-                kind, name, self.revision, {}, deleted=True
+            before = self.objects.pop(
+                (kind, name), stored_object.StoredObject(kind, name, 0, {})
             )
-            self.record(gone)
-        return self.reply(gone.version)
+            made = attrs.evolve(before, version=self.revision, **fields)
+            if not made.deleted:
+                self.objects[made.key] = made
+            self.record(made)
+        return self.reply(made)
 
     def list_kind(
         self, kind: str
@@ -121,23 +123,6 @@
             found = self.changes(kind, after)
             return result.Success(listing.Listing(self.revision, tuple(found)))
 
-    def put_status(
-        self, kind: str, name: str, status: dict[str, Any], expected: int
-    ) -> result.Result[stored_object.StoredObject, object_store.Failed]:
-        """Write what the system says about an operator's object."""
-        if self.down:
-            return self.unavailable()
-        with self.changed:
-            self.calls += 1
-            held = self.objects.get((kind, name))
-            if held is None or held.version != expected:
-                return self.conflict(kind, name)
-            self.revision += 1
-            made = attrs.evolve(held, version=self.revision, status=status)
-            self.objects[made.key] = made
-            self.record(made)
-        return self.reply(made)
-
     def changes(
         self, kind: str, after: int
     ) -> Sequence[stored_object.StoredObject]:
--- a/tests/models/test_lease_model.py
+++ b/tests/models/test_lease_model.py
@@ -6,13 +6,13 @@
 """
 
 import itertools
-import random
 
 import pytest
 
 from chestnutshunt.lease import lease
 from chestnutshunt import manual_clock
 from tests import late_store
+from tests.models import histories
 
 DURATION_S = 3.0
 
@@ -124,19 +124,13 @@
     return True
 
 
-def random_histories(count, length):
-    chance = random.Random(11)
-    for _ in range(count):
-        yield [chance.choice(STEPS) for _ in range(length)]
-
-
 def test_every_order_of_four_steps():
     for steps in itertools.product(STEPS, repeat=4):
         assert is_kept(steps), steps
 
 
 def test_long_random_histories():
-    for steps in random_histories(3000, 25):
+    for steps in histories.random_histories(STEPS, 11, 3000, 25):
         assert is_kept(steps), steps
 
 
@@ -178,5 +172,6 @@
 )
 def test_the_model_notices_a_lease_without_a_safeguard(lease_type):
     assert not all(
-        is_kept(steps, lease_type) for steps in random_histories(3000, 25)
+        is_kept(steps, lease_type)
+        for steps in histories.random_histories(STEPS, 11, 3000, 25)
     )
--- a/tests/models/test_load_orders_model.py
+++ b/tests/models/test_load_orders_model.py
@@ -8,9 +8,7 @@
 """
 
 import itertools
-import random
 
-import attrs
 import pytest
 from returns import result
 
@@ -27,6 +25,7 @@
 from chestnutshunt_daemon.fleet import weights_duty
 from chestnutshunt_platform import main
 from tests import fleet_parts
+from tests.models import histories
 
 LOAD_S = 0.9
 
@@ -122,16 +121,6 @@
         self.late.clear()
 
 
-@attrs.define
-class Holder:
-    """Tells whether a daemon may act; a step decides it."""
-
-    number: int = 0
-
-    def fence(self):
-        return self.number
-
-
 class World:
     """Two daemons of which one may act, three targets, one model."""
 
@@ -139,7 +128,7 @@
         self.clock = manual_clock.ManualClock()
         self.targets = [Target(number, self.clock) for number in range(3)]
         self.loader = Loader(self.targets)
-        self.holders = [Holder(1), Holder()]
+        self.holders = [histories.Holder(1), histories.Holder()]
         self.fences = itertools.count(2)
         self.version = 1
         self.duties = []
@@ -233,19 +222,13 @@
     return settled and not any(item.harmed for item in world.targets)
 
 
-def random_histories(count, length):
-    chance = random.Random(5)
-    for _ in range(count):
-        yield [chance.choice(STEPS) for _ in range(length)]
-
-
 def test_every_order_of_three_steps():
     for steps in itertools.product(STEPS, repeat=3):
         assert is_kept(steps), steps
 
 
 def test_long_random_histories():
-    for steps in random_histories(400, 20):
+    for steps in histories.random_histories(STEPS, 5, 400, 20):
         assert is_kept(steps), steps
 
 
@@ -277,5 +260,5 @@
 
 def test_the_model_notices_orders_without_their_number():
     with pytest.raises(AssertionError):
-        for steps in random_histories(400, 20):
+        for steps in histories.random_histories(STEPS, 5, 400, 20):
             assert is_kept(steps, Unnumbered)
--- a/tests/models/test_usage_window_model.py
+++ b/tests/models/test_usage_window_model.py
@@ -6,9 +6,7 @@
 
 import collections
 import itertools
-import random
 
-import attrs
 from returns import result
 
 from chestnutshunt.duties import memory_duty_platform
@@ -19,6 +17,7 @@
 from chestnutshunt_daemon.fleet import usage_duty
 from chestnutshunt_platform import main
 from tests import late_store
+from tests.models import histories
 
 WINDOW_S = 1.0
 
@@ -36,16 +35,6 @@
 )
 
 
-@attrs.define
-class Holder:
-    """Tells whether a daemon may act; a step decides it."""
-
-    number: int = 0
-
-    def fence(self):
-        return self.number
-
-
 class LosingPlatform(memory_duty_platform.MemoryDutyPlatform):
     """Takes reports, and loses an answer when a step asks for it."""
 
@@ -69,7 +58,7 @@
         self.store = late_store.LateStore()
         self.platform = LosingPlatform()
         self.fences = itertools.count(2)
-        self.holders = [Holder(1), Holder()]
+        self.holders = [histories.Holder(1), histories.Holder()]
         self.duties = [self.make(place) for place in range(2)]
         self.truth = collections.Counter()
 
@@ -143,14 +132,8 @@
     return world.is_right()
 
 
-def random_histories(count, length):
-    chance = random.Random(3)
-    for _ in range(count):
-        yield [chance.choice(STEPS) for _ in range(length)]
-
-
 def test_long_random_histories():
-    for steps in random_histories(600, 30):
+    for steps in histories.random_histories(STEPS, 3, 600, 30):
         assert is_kept(steps), steps
 
 
@@ -190,5 +173,6 @@
 def test_the_model_notices_windows_that_are_not_frozen():
     for duty_type in (Unfrozen, Adding):
         assert not all(
-            is_kept(steps, duty_type) for steps in random_histories(600, 30)
+            is_kept(steps, duty_type)
+            for steps in histories.random_histories(STEPS, 3, 600, 30)
         ), duty_type
--- a/tests/targets/test_forwarder.py
+++ b/tests/targets/test_forwarder.py
@@ -54,19 +54,6 @@
         )
 
 
-@pytest.fixture
-def target():
-    made = []
-
-    def make(name, *script):
-        made.append(fake_target.FakeTarget(name, *script))
-        return made[-1]
-
-    yield make
-    for item in made:
-        item.close()
-
-
 def test_passes_the_request_on_and_the_answer_back(target):
     one = target('t1', fake_target.answer(200, b'bytes', X_Extra='y'))
     found = Bench(one).send(make_route())
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -40,19 +40,6 @@
     )
 
 
-@pytest.fixture
-def target():
-    made = []
-
-    def make(name, *script):
-        made.append(fake_target.FakeTarget(name, *script))
-        return made[-1]
-
-    yield make
-    for item in made:
-        item.close()
-
-
 def text(*numbers):
     return ''.join(f'id: {n}\ndata: d{n}\n\n' for n in numbers).encode()
 
