Settle in the lease whether a lapse is an outage

The duty called tend() twice to close the gap that test_platform_away fell into. The lease knows best: where it lapses while a renewal fails it looks once more itself, and the duty goes by what tend() returned instead of looking again. The special case in the duty is gone; the new test in test_lease failed before, the one in test_duties keeps its assertions and makes one more round. Ruled out: to try anew after a lost renewal too, which let a process that had ended take its lease back (test_lease).

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/duties.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/duties.py
@@ -103,12 +103,7 @@
         if gone or (not wanted and not duty.charge.held):
             self.drop(name)
             return
-        duty.charge.tend()
-        if duty.work is not None and not is_going_on(duty.charge):
-            # It lapsed while the renewal failed. Only a call after that
-            # tells an outage from a lease that another has taken.
-            duty.charge.tend()
-        if not is_going_on(duty.charge):
+        if not (duty.charge.tend() or duty.charge.orphaned):
             self.stop_work(name, duty)
         elif duty.work is None:
             LOG.info('Holding %s', name)
@@ -156,8 +151,3 @@
         duty = self.duties.pop(name)
         self.stop_work(name, duty)
         duty.charge.release()
-
-
-def is_going_on(charge: lease.Lease) -> bool:
-    """Tell whether a duty is held, or nobody can be known to have it."""
-    return charge.held or charge.orphaned
--- a/packages/chestnutshunt/chestnutshunt/lease/lease.py
+++ b/packages/chestnutshunt/chestnutshunt/lease/lease.py
@@ -108,8 +108,13 @@
         with self.lock:
             if self.held:
                 self.renew()
-            else:
-                self.try_acquire()
+                if not self.fence:
+                    return False
+                if self.held:
+                    return True
+                # It lapsed while the renewal failed. Only a call after that
+                # tells an outage from a lease that another has taken.
+            self.try_acquire()
             return self.held
 
     def renew(self) -> None:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -2,14 +2,8 @@
 
 import pytest
 
-from chestnutshunt.duties import memory_duty_platform
-from chestnutshunt import manual_clock
-from chestnutshunt.membership import member
-from chestnutshunt.store import adapter
-from chestnutshunt.store import memory_store
 from chestnutshunt_daemon import duties
-from chestnutshunt_daemon import node
-from chestnutshunt_daemon import settings
+from tests import daemon_parts
 
 
 class Work:
@@ -22,21 +16,7 @@
 
 @pytest.fixture
 def held():
-    config = settings.DaemonSettings(
-        name='own',
-        datacentre='near',
-        caller_address='127.0.0.1:1',
-        peer_address='127.0.0.1:2',
-        admin_address='127.0.0.1:3',
-        platform_url='http://127.0.0.1:4',
-        lease_s=2.0,
-    )
-    clock = manual_clock.ManualClock()
-    platform = adapter.Platform.of(
-        memory_store.MemoryStore(), memory_duty_platform.MemoryDutyPlatform()
-    )
-    own = member.Member('own', 'x', 'near', 'own:1')
-    made = duties.Duties(node.Node(config, platform, own, clock))
+    made = duties.Duties(daemon_parts.make_node(lease_s=2.0))
     made.work = Work()
     duty = duties.Duty(made.make_lease(duties.USAGE_DUTY), made.work)
     made.duties[duties.USAGE_DUTY] = duty
@@ -51,13 +31,16 @@
     tend = charge.tend
 
     def tend_then_wait():
-        tend()
+        is_held = tend()
         held.held.clock.advance(0.1)
         charge.tend = tend
+        return is_held
 
     charge.tend = tend_then_wait
     held.held.clock.advance(1.75)
     held.tend_one(duties.USAGE_DUTY, True)
+    assert not held.work.ended
+    held.tend_one(duties.USAGE_DUTY, True)
     assert charge.orphaned
     assert not held.work.ended
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -116,27 +116,48 @@
     assert not ended.held
 
 
-def test_time_counts_from_what_the_holder_told():
-    """An outage of the store made successors wait from its return."""
+@pytest.fixture
+def told():
+    """A holder, and a successor that it told of its record."""
     platform = memory_store.MemoryStore()
     source = manual_clock.ManualClock()
     holder = lease.Lease(platform, source, 'x', 'a', duration=2.0)
     assert holder.tend()
     other = lease.Lease(platform, source, 'x', 'b', duration=2.0)
     other.note_record(holder.version)
+    return source, holder, other
+
+
+def test_time_counts_from_what_the_holder_told(told):
+    """An outage of the store made successors wait from its return."""
+    source, _, other = told
     source.advance(2.3)
     assert other.tend()
 
 
-def test_a_renewal_after_what_the_holder_told_counts():
-    platform = memory_store.MemoryStore()
-    source = manual_clock.ManualClock()
-    holder = lease.Lease(platform, source, 'x', 'a', duration=2.0)
-    assert holder.tend()
-    other = lease.Lease(platform, source, 'x', 'b', duration=2.0)
-    other.note_record(holder.version)
+def test_a_renewal_after_what_the_holder_told_counts(told):
+    source, holder, other = told
     source.advance(1.5)
     assert holder.tend()
     source.advance(1.0)
     assert not other.tend()
     assert holder.held
+
+
+def test_a_lease_that_lapses_while_its_renewal_fails_is_tried_again():
+    """The work of a duty ended for a whole outage of the platform."""
+    platform = memory_store.MemoryStore()
+    source = manual_clock.ManualClock()
+    held = lease.Lease(platform, source, 'x', 'a', duration=2.0)
+    assert held.tend()
+    platform.down = True
+    source.advance(1.75)
+    renew = held.renew
+
+    def renew_slowly():
+        renew()
+        source.advance(0.1)
+
+    held.renew = renew_slowly
+    assert not held.tend()
+    assert held.orphaned
