--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/admission.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/admission.py
@@ -7,10 +7,9 @@
 
 __all__ = ['Admission']
 
-# A configuration that was confirmed within this time counts as current, so a
-# route or key that it lacks does not exist. Below the 2.5 s that a change may
-# take.
-RECENT_CONFIG_S = 1.5
+# A configuration that was confirmed within this part of the time that a change
+# may take counts as current: a route or key that it lacks does not exist.
+RECENT_CONFIG_RATIO = 0.6
 
 # Part of `revoke_s` that is reserved for a request to reach a target.
 KEY_MARGIN_S = 0.6
@@ -90,7 +89,8 @@
 
     def require_recent_config(self) -> None:
         """Raise `NotReady` if a newer configuration may be in force."""
-        if self.state.config_age_s() > RECENT_CONFIG_S:
+        recent_s = RECENT_CONFIG_RATIO * self.state.config.config_s
+        if self.state.config_age_s() > recent_s:
             raise errors.NotReady(
                 'A newer configuration may be in force.', retry_after_s=0.3
             )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/cleanup_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/cleanup_duty.py
@@ -33,6 +33,9 @@
 # daemon that returns registers again.
 DAEMON_EXPIRY_S = 600.0
 
+# Time for which the leaves that a hub reported count as live.
+LEAVES_TTL_S = 10.0
+
 # Jobs deleted in one pass; each has some 30 objects, and deleting many would
 # delay callers' writes.
 MAX_JOBS_PER_PASS_COUNT = 5
@@ -138,6 +141,9 @@
         now = self.state.clock.monotonic()
         live = {peer.name for peer in self.state.live_peers()}
         live.add(self.state.config.name)
+        for heard_at, leaves in list(self.state.leaves_by_hub.values()):
+            if now - heard_at < LEAVES_TTL_S:
+                live |= leaves
         daemons = self.state.mirrors[fleet_state.DAEMON_KIND].values()
         for name in live | (
             set(self.not_live_since) - {x.name for x in daemons}
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
@@ -1,6 +1,7 @@
 """Holds the lease of the duties that one daemon at a time carries out."""
 
 import logging
+import threading
 
 from chestnutshunt.lease import lease
 from chestnutshunt.store import object_store
@@ -26,6 +27,9 @@
 # Time between two checks of the lease.
 PERIOD_S = 0.15
 
+# The same for a leaf, which never holds it.
+LEAF_PERIOD_S = 1.0
+
 # Time between two attempts to acquire a lease that no live peer holds.
 ACQUIRE_PERIOD_S = 0.3
 
@@ -44,6 +48,11 @@
         Shared state of the daemon.
     store : ObjectStore
         Store that keeps the lease.
+
+    Attributes
+    ----------
+    held_event : Event
+        Set while this daemon holds the lease.
     """
 
     def __init__(
@@ -59,6 +68,7 @@
             sole_process=True,
         )
         self.acquired_at = 0.0
+        self.held_event = threading.Event()
         self.was_held = False
         state.is_holder = lambda: self.lease.is_held
         state.lease_version = lambda: self.lease.version
@@ -67,11 +77,13 @@
     def run(self) -> None:
         """Acquire, renew or release the lease until the daemon stops."""
         attempted_at = 0.0
-        while not self.state.stopped.wait(PERIOD_S):
+        while not self.state.stopped.wait(
+            PERIOD_S if self.state.is_hub or self.was_held else LEAF_PERIOD_S
+        ):
             now = self.state.clock.monotonic()
             if self.lease.is_held:
                 left = self.lease.valid_until - now
-                if self.state.leaving.is_set():
+                if self.state.leaving.is_set() or not self.state.is_hub:
                     self.lease.release()
                 elif left < RENEW_RATIO * self.lease.duration_s:
                     self.lease.renew_or_acquire()
@@ -81,9 +93,14 @@
             self.note_change()
 
     def is_candidate(self) -> bool:
-        """Return whether this daemon may try to acquire the lease."""
+        """Return whether this daemon may try to acquire the lease.
+
+        Only hubs hear the usage counts of the whole fleet.
+        """
         if self.state.leaving.is_set() or self.state.deployment is None:
             return False
+        if not self.state.is_hub or not self.state.topology.members:
+            return False
         return not any(peer.holder for peer in self.state.live_peers())
 
     def note_change(self) -> None:
@@ -93,6 +110,9 @@
         self.was_held = self.lease.is_held
         if self.was_held:
             self.acquired_at = self.state.clock.monotonic()
+            self.held_event.set()
+        else:
+            self.held_event.clear()
         LOG.info(
             'Duties taken' if self.was_held else 'Duties lost',
             extra={'fence': self.lease.fence, 'revision': self.lease.version},
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -156,6 +156,7 @@
         loops: dict[str, Callable[[], None]] = {
             'mesh': mesh.run,
             'pulls': mesh.run_pulls,
+            'leaf-links': mesh.leaf_links.run,
             'duties': holder.run,
             'dispatch': runner.dispatch,
             'jobs': runner.review,
@@ -202,7 +203,7 @@
             caller_server.caller_server(
                 config.caller_address,
                 front.handle,
-                config.threads,
+                config.caller_threads,
                 state.clock,
             )
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
@@ -39,12 +39,16 @@
             'holder': holder_name(state),
             'fence': holder.lease.fence,
         },
+        'hub': state.is_hub,
+        'registered': len(state.topology.members),
         'peers': [
             {
                 'name': peer.name,
                 'datacentre': peer.datacentre,
                 'heard_s_ago': round(now - peer.heard_at, 3),
                 'leaving': peer.leaving,
+                'hub': peer.hub,
+                'relayed': peer.relayed,
                 'store_read_s': round(peer.store_read_s, 4),
             }
             for peer in sorted(state.peers.values(), key=lambda x: x.name)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_duty.py
@@ -10,6 +10,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# Longest time between two checks of whether a daemon that does not hold the
+# duties has been stopped.
+MAX_IDLE_S = 1.0
+
 
 class FleetDuty(abc.ABC):
     """Runs a task periodically while this daemon holds the duties.
@@ -45,6 +49,10 @@
     def run(self) -> None:
         """Make passes until the daemon stops."""
         while not self.state.stopped.wait(self.period_s):
+            if not self.holder.held_event.is_set():
+                self.reset()
+                self.holder.held_event.wait(MAX_IDLE_S)
+                continue
             if not self.holder.fence():
                 self.reset()
                 continue
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
@@ -6,6 +6,11 @@
 
 __all__ = ['FleetSettings']
 
+# Callers' requests that a VM of at least one core, and a smaller one, serves
+# concurrently.
+THREADS = 48
+SMALL_VM_THREADS = 24
+
 
 @attrs.frozen
 class FleetSettings:
@@ -38,8 +43,16 @@
         late, in seconds.
     job_kept_s : float
         Seconds for which the results of an ended job can be read.
+    config_s : float
+        Seconds within which a change of the configuration takes effect.
+    seed_addresses : list of str
+        Addresses of daemons of which only the IP is used: a daemon that
+        starts asks them for what they know.
+    processor_share, processor_count : float
+        Share of a core that the VM has, and speed of that core relative to
+        others; their product is the capacity of the VM.
     threads : int
-        Callers' requests served concurrently.
+        Callers' requests served concurrently; 0 chooses by the capacity.
     log_level : str
         Name of a level of the logging module.
     """
@@ -60,8 +73,39 @@
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
     job_kept_s: float = 120.0
-    threads: int = attrs.field(default=48, validator=settings.at_least(4))
+    config_s: float = 2.5
+    seed_addresses: list[str] = attrs.field(factory=list)
+    processor_share: float = 1.0
+    processor_count: float = 1.0
+    threads: int = attrs.field(default=0, validator=settings.at_least(0))
     log_level: str = attrs.field(
         default='INFO',
         validator=settings.one_of('DEBUG', 'INFO', 'WARNING', 'ERROR'),
     )
+
+    @property
+    def capacity(self) -> float:
+        """Processor share of the VM, in cores."""
+        return round(self.processor_share * self.processor_count, 1)
+
+    @property
+    def caller_threads(self) -> int:
+        """Callers' requests served concurrently."""
+        if self.threads:
+            return self.threads
+        return THREADS if self.capacity >= 1.0 else SMALL_VM_THREADS
+
+    @property
+    def seeds(self) -> list[str]:
+        """``IP:PORT`` of the seeds for calls between daemons.
+
+        All daemons use the same port.
+        """
+        port = self.peer_address.rpartition(':')[2]
+        ips = [seed.rpartition(':')[0] for seed in self.seed_addresses]
+        return [f'{ip}:{port}' for ip in ips if ip]
+
+    @property
+    def is_seed(self) -> bool:
+        """Whether this daemon is one of the seeds."""
+        return self.peer_address in self.seeds
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -10,6 +10,8 @@
 from chestnutshunt import clock
 from chestnutshunt.deployment import deployment
 from chestnutshunt.jobs import job_codec
+from chestnutshunt.membership import fleet_member
+from chestnutshunt.membership import topology
 from chestnutshunt import median_time
 from chestnutshunt.replicas import place
 from chestnutshunt.replicas import replica_view
@@ -20,6 +22,7 @@
 from chestnutshunt_daemon.fleet import fleet_metrics
 from chestnutshunt_daemon.fleet import fleet_settings
 from chestnutshunt_daemon.fleet import store_schema
+from chestnutshunt_daemon.fleet import topology_view
 from chestnutshunt_daemon.peers import peer_info
 
 __all__ = ['DAEMON_KIND', 'FleetState']
@@ -32,9 +35,15 @@
 # Time between heartbeats to one peer, without the addition for each peer.
 HEARTBEAT_S = 0.4
 
-# Added for each peer, to limit the heartbeat traffic of a large mesh.
+# Added for each hub, to limit the heartbeat traffic of a large mesh.
 HEARTBEAT_PER_PEER_S = 0.01
 
+# Hubs to which a leaf sends its heartbeats in turn.
+MIN_LINK_COUNT = topology.MIN_HUB_COUNT
+
+# Time between heartbeats of a leaf.
+LEAF_HEARTBEAT_S = 0.5
+
 # A peer counts as lost after this many heartbeat periods of silence.
 LIVE_HEARTBEAT_COUNT = 2.5
 
@@ -83,6 +92,16 @@
         self.mirrors = {
             kind: kind_mirror.KindMirror(kind, self.clock) for kind in kinds
         }
+        self.topology = topology_view.TopologyView(
+            fleet_member.FleetMember(
+                config.name,
+                config.peer_address,
+                config.datacentre,
+                config.capacity,
+            ),
+            self.mirrors[DAEMON_KIND],
+            self.clock,
+        )
         self.place = place.Place(config.datacentre, config.regions)
         self.replicas = replica_view.ReplicaView(
             self.mirrors[schema.replica_kind],
@@ -97,6 +116,7 @@
         self.metrics = fleet_metrics.FleetMetrics()
         self.deployment: deployment.Deployment | None = None
         self.peers: dict[str, peer_info.PeerInfo] = {}
+        self.leaves_by_hub: dict[str, tuple[float, frozenset[str]]] = {}
         self.store_read_s = -1.0
         self.store_reachable = True
         self.store_read_at = self.started_at
@@ -157,28 +177,62 @@
         if workspace and number:
             self.counts.add(workspace, self.time.now(), number)
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this daemon is linked to all hubs; see `topology`."""
+        return self.topology.current.is_hub
+
     def heartbeat_s(self) -> float:
-        """Return the current time between two heartbeats to one peer."""
-        return HEARTBEAT_S + HEARTBEAT_PER_PEER_S * len(self.peers)
+        """Return the current time between two heartbeats to one hub."""
+        hubs = sum(peer.hub for peer in list(self.peers.values()))
+        return HEARTBEAT_S + HEARTBEAT_PER_PEER_S * hubs
 
     def live_peers(self) -> list[peer_info.PeerInfo]:
-        """Return the peers whose last heartbeat is recent."""
-        live_s = LIVE_HEARTBEAT_COUNT * self.heartbeat_s()
-        oldest_at = self.clock.monotonic() - live_s
+        """Return the peers whose last heartbeat is recent.
+
+        Those of a leaf are its hubs and the hubs that these have heard.
+        """
+        now = self.clock.monotonic()
+        leaf_live_s = LIVE_HEARTBEAT_COUNT * MIN_LINK_COUNT * LEAF_HEARTBEAT_S
+        hub_live_s = LIVE_HEARTBEAT_COUNT * self.heartbeat_s()
+        if not self.is_hub:
+            hub_live_s += leaf_live_s
         return [
             peer
             for peer in list(self.peers.values())
-            if peer.heard_at >= oldest_at
+            if now - peer.heard_at
+            <= (hub_live_s if peer.hub else leaf_live_s)
         ]
 
-    def store_peers(self) -> list[peer_info.PeerInfo]:
-        """Return the live peers that reach the store and are not leaving."""
+    def live_hubs(self) -> list[peer_info.PeerInfo]:
+        """Return the live peers that are hubs."""
+        return [peer for peer in self.live_peers() if peer.hub]
+
+    def live_leaves(self) -> list[peer_info.PeerInfo]:
+        """Return the live leaves that this daemon has heard itself."""
         return [
             peer
             for peer in self.live_peers()
+            if not peer.hub and not peer.relayed
+        ]
+
+    def store_peers(self) -> list[peer_info.PeerInfo]:
+        """Return the live hubs that reach the store and are not leaving."""
+        return [
+            peer
+            for peer in self.live_hubs()
             if peer.store_read_s >= 0 and not peer.leaving
         ]
 
+    def plan_links(self) -> topology.Topology:
+        """Return the links that this daemon should have now."""
+        leaving = {
+            peer.name for peer in list(self.peers.values()) if peer.leaving
+        }
+        if self.leaving.is_set():
+            leaving.add(self.config.name)
+        return self.topology.refresh(frozenset(leaving))
+
     def note_store_read(self, seconds: float, error: str = '') -> None:
         """Record a read of the store; log when the store is lost or regained.
 
@@ -207,15 +261,18 @@
             )
 
     def all_peers_live(self) -> bool:
-        """Return whether every other registered daemon is live."""
-        names = {item.name for item in self.mirrors[DAEMON_KIND].values()}
-        names.discard(self.config.name)
+        """Return whether every daemon that may run jobs is live.
+
+        These are all daemons in a full mesh, else the hubs.
+        """
+        current = self.topology.current
+        names = set(current.hubs) | set(current.unusable)
         return names <= {peer.name for peer in self.live_peers()}
 
     def reader_rank(self, kind: str) -> int:
         """Return the rank of this daemon among the readers of a kind.
 
-        The daemon of rank 0 reads first. Daemons near the store come before
+        Only hubs read; leaves come after all of them. The daemon of rank 0 reads first. Daemons near the store come before
         the others, since traffic between regions is charged; within each
         group the order is that of a rendezvous hash of kind and name.
         """
@@ -227,6 +284,8 @@
             self.store_read_s > NEAR_STORE_S or self.store_read_s < 0,
             self.config.name,
         )
+        if not self.is_hub:
+            return len(candidates)
         order = sorted(
             [*candidates, own],
             key=lambda pair: (pair[0], rendezvous.score(kind, pair[1])),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
@@ -2,6 +2,7 @@
 
 from returns import result
 
+from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
 from chestnutshunt_daemon.fleet import fleet_state
 
@@ -14,20 +15,32 @@
 # Daemons of higher ranks wait as long as those of this rank.
 MAX_RANK = 3
 
-# For this long after its start a daemon without peers reads registrations at
-# this period: until it has found peers it reads all kinds itself.
+# Longest time that is added for a leaf beyond that, in the order of their
+# hashes: leaves read only when no hub can, and not all at once.
+LEAF_SPREAD_S = 4.0
+
+# For this long after its start a seed, or a daemon without peers, reads
+# registrations at this period.
 DISCOVERY_S = 5.0
 DISCOVERY_PERIOD_S = 0.3
 
-# Delay after a failed read.
+# For this long after its start a daemon that is no seed waits for one.
+SEED_WAIT_S = 1.5
+
+# Delay after a failed read, of a hub and of a leaf.
 RETRY_S = 0.3
+LEAF_RETRY_S = 1.5
 
-# Time between two probes of a store that failed; the store also counts calls
-# that it refuses.
+# Time between two probes of a store that failed, by a hub and by a leaf; the
+# store also counts calls that it refuses.
 PROBE_PERIOD_S = 1.0
+LEAF_PROBE_PERIOD_S = 3.0
 
-# Time between two checks of whether a read is due.
+# Least and longest time between two checks of whether a read is due.
 POLL_S = 0.1
+MAX_POLL_S = 0.5
+
+SCORE_RANGE = 2**64
 
 
 class MirrorReader:
@@ -64,36 +77,66 @@
         while not self.state.stopped.is_set():
             if self.is_due():
                 if not self.read():
-                    self.state.stopped.wait(RETRY_S)
+                    self.state.stopped.wait(
+                        RETRY_S if self.state.is_hub else LEAF_RETRY_S
+                    )
             else:
-                self.state.stopped.wait(POLL_S)
+                due_s = self.due_age_s() - self.mirror.age_s
+                self.state.stopped.wait(min(max(due_s, POLL_S), MAX_POLL_S))
 
     def is_due(self) -> bool:
         """Return whether this daemon has to read now."""
+        if self.is_waiting_for_seed():
+            return False
         if self.is_probe_due():
             return True
-        age_s = self.mirror.age_s
-        period_s = self.period_s
-        if self.kind == fleet_state.DAEMON_KIND and self.is_alone():
-            period_s = min(period_s, DISCOVERY_PERIOD_S)
-        if age_s < period_s:
+        if not self.state.is_hub and self.is_store_lost():
             return False
+        return self.mirror.age_s >= self.due_age_s()
+
+    def due_age_s(self) -> float:
+        """Return the age of the mirror at which this daemon reads."""
+        if self.kind == fleet_state.DAEMON_KIND and self.is_discovering():
+            return DISCOVERY_PERIOD_S
         rank = min(self.state.reader_rank(self.kind), MAX_RANK)
-        return age_s >= period_s + rank * STANDBY_S
+        age_s = self.period_s + rank * STANDBY_S
+        if not self.state.is_hub:
+            score = rendezvous.score(self.kind, self.state.config.name)
+            spread = int.from_bytes(score) / SCORE_RANGE
+            age_s += spread * LEAF_SPREAD_S
+        return age_s
+
+    def is_waiting_for_seed(self) -> bool:
+        """Return whether a seed may still tell what the store holds."""
+        config = self.state.config
+        uptime_s = self.state.clock.monotonic() - self.state.started_at
+        return (
+            bool(config.seeds)
+            and not config.is_seed
+            and self.mirror.confirmed_at is None
+            and uptime_s < SEED_WAIT_S
+        )
+
+    def is_store_lost(self) -> bool:
+        """Return whether the last call to the store failed."""
+        return self.state.store_read_s < 0
 
     def is_probe_due(self) -> bool:
         """Return whether to check if a store that failed answers again."""
         if self.kind != self.state.schema.config_kind:
             return False
         now = self.state.clock.monotonic()
-        return (
-            self.state.store_read_s < 0 and now - self.read_at > PROBE_PERIOD_S
-        )
+        period_s = PROBE_PERIOD_S
+        if not self.state.is_hub:
+            period_s = LEAF_PROBE_PERIOD_S
+        return self.is_store_lost() and now - self.read_at > period_s
 
-    def is_alone(self) -> bool:
-        """Return whether this daemon has just started and has no peer."""
+    def is_discovering(self) -> bool:
+        """Return whether registrations may come in quick succession."""
         uptime_s = self.state.clock.monotonic() - self.state.started_at
-        return uptime_s < DISCOVERY_S and not self.state.live_peers()
+        return uptime_s < DISCOVERY_S and (
+            self.state.config.is_seed or not self.state.live_peers()
+        )
 
     def read(self) -> bool:
         """Read the kind; return whether the read succeeded."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -27,6 +27,9 @@
 
 DISPATCH_INTERVAL_S = 0.03
 
+# Longest time between two checks of whether an idle daemon has been stopped.
+MAX_IDLE_S = 0.5
+
 REVIEW_INTERVAL_S = 0.4
 
 # A job is taken over when no live daemon has run it for this long: one
@@ -77,6 +80,7 @@
         self.readable_runs: dict[str, job_run.JobRun] = {}
         self.pool = futures.ThreadPoolExecutor(MAX_RUNNING_ITEMS_COUNT, 'item')
         self.lock = threading.Lock()
+        self.added = threading.Event()
         state.running_job_ids = self.job_ids
 
     def make_run(self, job: job.Job) -> job_run.JobRun:
@@ -96,6 +100,7 @@
             self.carry_over_texts(run)
             self.runs[job.id] = run
         run.start()
+        self.added.set()
         self.state.wake_peers()
         return run
 
@@ -133,6 +138,9 @@
     def dispatch(self) -> None:
         """Start items, oldest job first, until the daemon stops."""
         while not self.state.stopped.wait(DISPATCH_INTERVAL_S):
+            if not self.runs:
+                self.added.wait(MAX_IDLE_S)
+                self.added.clear()
             for run in sorted(
                 list(self.runs.values()),
                 key=lambda run: (run.job.submitted_at, run.job.id),
@@ -260,6 +268,8 @@
         """Return whether this daemon ranks first for taking over a job."""
         if self.state.leaving.is_set() or self.state.deployment is None:
             return False
+        if not self.state.is_hub:
+            return False
         names = [peer.name for peer in self.state.store_peers()]
         names.append(self.state.config.name)
         return rendezvous.rank(job_id, names)[0] == self.state.config.name
@@ -276,6 +286,7 @@
                         return
                     self.runs[run.job.id] = run
                 run.start()
+                self.added.set()
                 self.state.wake_peers()
                 LOG.info(
                     'Job taken over',
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_codec.py
@@ -5,14 +5,18 @@
 
 from chestnutshunt.store import kind_mirror
 from chestnutshunt.store import stored_object
+from chestnutshunt_daemon.peers import peer_info
 from chestnutshunt_daemon.wire import fleet_pb2
 
 __all__ = [
+    'decode_changes',
     'decode_digest',
     'decode_objects',
+    'decode_peer',
     'decode_tallies',
     'encode_digest',
     'encode_objects',
+    'encode_peer',
     'encode_tallies',
 ]
 
@@ -51,21 +55,77 @@
     return tuple(stored_object.StoredObject(*row) for row in rows)
 
 
+def decode_changes(reply: fleet_pb2.PullReply) -> kind_mirror.KindChanges:
+    """Build the changes of a kind from a partial reply."""
+    return kind_mirror.KindChanges(
+        decode_objects(reply.objects), tuple(reply.removed)
+    )
+
+
+def encode_peer(peer: peer_info.PeerInfo, now: float) -> fleet_pb2.Peer:
+    """Return the message that passes a peer on.
+
+    Parameters
+    ----------
+    peer : PeerInfo
+        The peer as of its last heartbeat.
+    now : float
+        Monotonic time in seconds at which the message is made.
+    """
+    return fleet_pb2.Peer(
+        name=peer.name,
+        incarnation=peer.incarnation,
+        datacentre=peer.datacentre,
+        address=peer.address,
+        leaving=peer.leaving,
+        holder=peer.holder,
+        jobs=peer.jobs,
+        store_s=peer.store_read_s,
+        age_s=now - peer.heard_at,
+        leaf=not peer.hub,
+    )
+
+
+def decode_peer(message: fleet_pb2.Peer, now: float) -> peer_info.PeerInfo:
+    """Build a peer that was passed on in a message received at `now`."""
+    return peer_info.PeerInfo(
+        name=message.name,
+        incarnation=message.incarnation,
+        datacentre=message.datacentre,
+        address=message.address,
+        leaving=message.leaving,
+        holder=message.holder,
+        jobs=frozenset(message.jobs),
+        store_read_s=message.store_s,
+        heard_at=now - message.age_s,
+        hub=not message.leaf,
+        relayed=True,
+    )
+
+
 def encode_tallies(
-    totals: dict[int, dict[str, int]],
+    totals: dict[int, dict[str, int]], source: str = ''
 ) -> list[fleet_pb2.Tally]:
-    """Return the messages for usage counts by window and workspace."""
+    """Return the messages for usage counts by window and workspace.
+
+    An empty source stands for the sender.
+    """
     return [
-        fleet_pb2.Tally(window=window, workspace=name, requests=count)
+        fleet_pb2.Tally(
+            window=window, workspace=name, requests=count, source=source
+        )
         for window, counts in totals.items()
         for name, count in counts.items()
     ]
 
 
-def decode_tallies(messages: Any) -> dict[int, dict[str, int]]:
-    """Build usage counts by window and workspace from their messages."""
-    totals: dict[int, dict[str, int]] = {}
+def decode_tallies(
+    messages: Any, sender: str
+) -> dict[str, dict[int, dict[str, int]]]:
+    """Build usage counts by source, window and workspace."""
+    sources: dict[str, dict[int, dict[str, int]]] = {}
     for tally in messages:
+        totals = sources.setdefault(tally.source or sender, {})
         counts = totals.setdefault(tally.window, {})
         counts[tally.workspace] = tally.requests
-    return totals
+    return sources
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
@@ -66,23 +66,31 @@
         outdated_kinds = heartbeat.apply_heartbeat(
             self.state, request, request.echo_s or now - MAX_TRANSIT_S, now
         )
+        self.state.topology.called_at[request.name] = now
         if outdated_kinds:
             self.state.pull_from(request.address, outdated_kinds)
-        return heartbeat.make_heartbeat(self.state, request.holder)
+        return heartbeat.make_heartbeat(
+            self.state, request.holder, for_leaf=request.leaf
+        )
 
     def Pull(
         self, request: fleet_pb2.PullRequest, context: grpc.ServicerContext
     ) -> fleet_pb2.PullReply:
-        """Return all mirrored objects of a kind."""
+        """Return the objects of a kind that the caller does not have."""
         mirror = self.state.mirrors.get(request.kind)
         if mirror is None:
             return fleet_pb2.PullReply(digest=fleet_pb2.Digest(age_s=-1))
         with mirror.lock:
+            changes = mirror.changes_since(request.after)
             return fleet_pb2.PullReply(
                 digest=fleet_codec.encode_digest(
                     request.kind, mirror.digest()
                 ),
-                objects=fleet_codec.encode_objects(mirror.values()),
+                objects=fleet_codec.encode_objects(
+                    mirror.values() if changes is None else changes.objects
+                ),
+                partial=changes is not None,
+                removed=() if changes is None else changes.removed,
             )
 
     def ReadResults(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from chestnutshunt.routing import rendezvous
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.peers import peer_info
@@ -15,9 +16,16 @@
 # some 50 bytes.
 MAX_CRASH_COUNT = 200
 
+# Key of the loads that a leaf hears from its hubs: each of them reports those
+# of the whole fleet.
+FLEET_LOADS = ''
+
 
 def make_heartbeat(
-    state: fleet_state.FleetState, for_holder: bool, echo_s: float = 0.0
+    state: fleet_state.FleetState,
+    for_holder: bool,
+    echo_s: float = 0.0,
+    for_leaf: bool = False,
 ) -> fleet_pb2.State:
     """Return this daemon's heartbeat.
 
@@ -26,12 +34,16 @@
     state : FleetState
         Shared state of this daemon.
     for_holder : bool
-        Whether the receiver holds the duties; only then usage counts are
-        included.
+        Whether the receiver holds the duties; only then, or if this daemon
+        is a leaf, usage counts are included.
     echo_s : float, optional
         Monotonic time in seconds of the receiver in its last message; 0 if
         there was none.
+    for_leaf : bool, optional
+        Whether the receiver is a leaf, which knows only what its hubs pass
+        on.
     """
+    is_leaf = not state.is_hub
     heartbeat = fleet_pb2.State(
         name=state.config.name,
         incarnation=state.incarnation,
@@ -45,23 +57,79 @@
         clock_s=state.clock.monotonic(),
         echo_s=echo_s,
         lease_version=state.lease_version(),
+        leaf=is_leaf,
+        primary_hub=primary_hub(state) if is_leaf else '',
     )
     for kind, mirror in state.mirrors.items():
         heartbeat.digests.append(
             fleet_codec.encode_digest(kind, mirror.digest())
         )
-    for name, running in state.replicas.own_loads().items():
+    for name, running in loads_for(state, for_leaf).items():
         heartbeat.loads.add(replica=name, running=running)
     crashes = list(state.quarantine.snapshot().items())
     for digest, names in crashes[-MAX_CRASH_COUNT:]:
         heartbeat.crashes.add(digest=digest, replicas=names)
-    if for_holder:
-        heartbeat.tallies.extend(
-            fleet_codec.encode_tallies(state.counts.own_totals())
+    for peer in peers_for(state, for_leaf):
+        heartbeat.peers.append(
+            fleet_codec.encode_peer(peer, state.clock.monotonic())
         )
+    if for_holder or is_leaf:
+        add_tallies(state, heartbeat)
+    if for_holder:
+        heartbeat.leaves.extend(peer.name for peer in state.live_leaves())
     return heartbeat
 
 
+def primary_hub(state: fleet_state.FleetState) -> str:
+    """Return the hub that adds this leaf's loads to its own."""
+    hubs = state.topology.current.hubs
+    return rendezvous.rank(state.config.name, hubs)[0] if hubs else ''
+
+
+def loads_for(
+    state: fleet_state.FleetState, for_leaf: bool
+) -> dict[str, int]:
+    """Return the requests at each target that a receiver does not know of.
+
+    For a hub these are the requests of this daemon and of its leaves, for a
+    leaf those of the whole fleet.
+    """
+    if for_leaf:
+        return state.replicas.fleet_loads()
+    leaves = [peer.name for peer in list(state.peers.values()) if not peer.hub]
+    return state.replicas.fleet_loads(leaves)
+
+
+def peers_for(
+    state: fleet_state.FleetState, for_leaf: bool
+) -> list[peer_info.PeerInfo]:
+    """Return the peers of which a receiver is to be told."""
+    leaves = [
+        peer for peer in state.live_leaves() if peer.jobs or peer.holder
+    ]
+    if not for_leaf:
+        return leaves
+    others = [
+        peer for peer in state.live_peers() if peer.hub or peer.relayed
+    ]
+    return [*others, *leaves]
+
+
+def add_tallies(
+    state: fleet_state.FleetState, heartbeat: fleet_pb2.State
+) -> None:
+    """Add the usage counts of this daemon and of its leaves."""
+    heartbeat.tallies.extend(
+        fleet_codec.encode_tallies(state.counts.own_totals())
+    )
+    for peer in list(state.peers.values()):
+        if not peer.hub and not peer.relayed:
+            totals = state.counts.peer_totals(peer.source)
+            heartbeat.tallies.extend(
+                fleet_codec.encode_tallies(totals, peer.source)
+            )
+
+
 def apply_heartbeat(
     state: fleet_state.FleetState,
     message: fleet_pb2.State,
@@ -99,8 +167,10 @@
         jobs=frozenset(message.jobs),
         store_read_s=message.store_s,
         heard_at=now,
+        hub=not message.leaf,
     )
     state.peers[message.name] = peer
+    state.topology.note_reached(message.name)
     if message.holder and message.lease_version:
         state.note_lease(message.lease_version)
     if previous is None or previous.incarnation != peer.incarnation:
@@ -109,16 +179,16 @@
             extra={'peer': peer.name, 'incarnation': peer.incarnation},
         )
     state.time.record_peer(message.name, message.wall_s, read_at)
-    state.replicas.set_peer_loads(
-        message.name, {entry.replica: entry.running for entry in message.loads}
-    )
+    apply_loads(state, message)
+    apply_peers(state, message, now)
     state.quarantine.merge_peer_report(
         {entry.digest: list(entry.replicas) for entry in message.crashes}
     )
-    if message.tallies:
-        counts = fleet_codec.decode_tallies(message.tallies)
-        source = f'{message.name}/{message.incarnation}'
+    tallies = fleet_codec.decode_tallies(message.tallies, peer.source)
+    for source, counts in tallies.items():
         state.counts.set_peer_totals(source, counts)
+    if message.leaves:
+        state.leaves_by_hub[peer.name] = (now, frozenset(message.leaves))
     return [
         entry.kind
         for entry in message.digests
@@ -127,3 +197,38 @@
             fleet_codec.decode_digest(entry), sent_at
         )
     ]
+
+
+def apply_loads(
+    state: fleet_state.FleetState, message: fleet_pb2.State
+) -> None:
+    """Record the loads of a heartbeat, each request once.
+
+    The loads of a leaf count at its primary hub only, which reports them to
+    the others. What a hub reports to a leaf includes the leaf's own.
+    """
+    loads = {entry.replica: entry.running for entry in message.loads}
+    if state.is_hub:
+        counts_here = (
+            not message.leaf or message.primary_hub == state.config.name
+        )
+        state.replicas.set_peer_loads(
+            message.name, loads if counts_here else {}
+        )
+    elif not message.leaf:
+        for name, running in state.replicas.own_loads().items():
+            loads[name] = max(loads.get(name, 0) - running, 0)
+        state.replicas.set_peer_loads(FLEET_LOADS, loads)
+
+
+def apply_peers(
+    state: fleet_state.FleetState, message: fleet_pb2.State, now: float
+) -> None:
+    """Record the peers of which a hub tells, unless heard more recently."""
+    for entry in message.peers:
+        peer = fleet_codec.decode_peer(entry, now)
+        known = state.peers.get(peer.name)
+        if peer.name != state.config.name and (
+            known is None or known.heard_at < peer.heard_at
+        ):
+            state.peers[peer.name] = peer
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/peer_info.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/peer_info.py
@@ -24,7 +24,12 @@
     store_read_s : float
         Seconds that its last read of the store took; negative if it failed.
     heard_at : float
-        Monotonic time in seconds at which the heartbeat arrived.
+        Monotonic time in seconds at which the heartbeat arrived, here or at
+        the hub that passed its content on.
+    hub : bool
+        Whether it counts itself as a hub.
+    relayed : bool
+        Whether a hub passed this on; the daemon itself was not heard.
     """
 
     name: str
@@ -36,3 +41,10 @@
     jobs: frozenset[str]
     store_read_s: float
     heard_at: float
+    hub: bool = True
+    relayed: bool = False
+
+    @property
+    def source(self) -> str:
+        """Name and incarnation, under which its usage counts are kept."""
+        return f'{self.name}/{self.incarnation}'
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/relayed_store.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/relayed_store.py
@@ -104,6 +104,7 @@
         self, call: store_call.StoreCall
     ) -> result.Result[Any, Error]:
         """Call the store directly."""
+        started_at = self.state.clock.monotonic()
         outcome = store_codec.call_store(self.direct_store, call)
         match outcome:
             case result.Failure(
@@ -115,6 +116,10 @@
                 label = 'failed'
             case _:
                 label = 'ok'
+                if self.state.store_read_s < 0:
+                    self.state.note_store_read(
+                        self.state.clock.monotonic() - started_at
+                    )
         self.state.metrics.store_calls.labels(call.operation, label).inc()
         return outcome
 
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -221,6 +221,27 @@
                 and state.running
             }
 
+    def fleet_loads(
+        self, peers: Collection[str] | None = None
+    ) -> dict[str, int]:
+        """Return how many requests this daemon and peers have at targets.
+
+        Parameters
+        ----------
+        peers : collection of str, optional
+            Names of the peers to include; all by default.
+        """
+        oldest_at = self.clock.monotonic() - PEER_LOAD_TTL_S
+        summed = self.own_loads()
+        for name, (received_at, loads) in list(self.peer_loads.items()):
+            if received_at < oldest_at:
+                continue
+            if peers is not None and name not in peers:
+                continue
+            for target, running in loads.items():
+                summed[target] = summed.get(target, 0) + running
+        return summed
+
     def choose(
         self, service: str, excluded: Collection[str] = ()
     ) -> replica.Replica | None:
--- a/packages/chestnutshunt/chestnutshunt/store/kind_mirror.py
+++ b/packages/chestnutshunt/chestnutshunt/store/kind_mirror.py
@@ -8,7 +8,10 @@
 from chestnutshunt import clock
 from chestnutshunt.store import stored_object
 
-__all__ = ['KindDigest', 'KindMirror']
+__all__ = ['KindChanges', 'KindDigest', 'KindMirror']
+
+# Removed names that are kept for peers that have not heard of the removal.
+MAX_REMOVED_COUNT = 2000
 
 
 @attrs.frozen
@@ -31,6 +34,22 @@
     age_s: float
 
 
+@attrs.frozen
+class KindChanges:
+    """What changed after a store revision.
+
+    Attributes
+    ----------
+    objects : tuple of StoredObject
+        Objects added or changed.
+    removed : tuple of str
+        Names of removed objects.
+    """
+
+    objects: tuple[stored_object.StoredObject, ...]
+    removed: tuple[str, ...]
+
+
 class KindMirror:
     """Objects of one kind, read by this daemon or its peers.
 
@@ -55,6 +74,10 @@
         ``None`` before the first read.
     confirmation_gap_s : float
         Seconds between the last two confirmations.
+    removed : dict of str to int
+        Removed names, and the store revision at which each was missing.
+    history_start : int
+        All removals after this store revision are in `removed`.
     """
 
     def __init__(self, kind: str, clock: clock.Clock) -> None:
@@ -65,6 +88,8 @@
         self.changed = 0
         self.confirmed_at: float | None = None
         self.confirmation_gap_s = 0.0
+        self.removed: dict[str, int] = {}
+        self.history_start = 0
         self.lock = threading.RLock()
         self.listeners: list[Callable[[], None]] = []
 
@@ -118,16 +143,90 @@
             if revision < self.through:
                 return False
             listed = {item.name: item for item in objects}
-            same = versions_of(listed) == versions_of(self.objects)
-            self.through = revision
-            if not same or self.confirmed_at is None:
-                self.objects = listed
-                self.changed = revision if changed is None else changed
-            self.confirm(confirmed_at)
-        if not same:
+            if self.confirmed_at is None:
+                self.history_start = revision
+            differs = self.replace(
+                listed,
+                revision,
+                confirmed_at,
+                revision if changed is None else changed,
+            )
+        self.notify(differs)
+        return differs
+
+    def apply_changes(
+        self,
+        revision: int,
+        changes: KindChanges,
+        confirmed_at: float,
+        changed: int,
+    ) -> bool:
+        """Apply the changes between this mirror's revision and a later one.
+
+        Changes from before the mirror's revision are ignored. The parameters
+        and the result are those of `apply_listing`.
+        """
+        with self.lock:
+            if revision < self.through or self.confirmed_at is None:
+                return False
+            objects = dict(self.objects)
+            for name in changes.removed:
+                objects.pop(name, None)
+            for stored in changes.objects:
+                objects[stored.name] = stored
+            differs = self.replace(objects, revision, confirmed_at, changed)
+        self.notify(differs)
+        return differs
+
+    def replace(
+        self,
+        objects: dict[str, stored_object.StoredObject],
+        revision: int,
+        confirmed_at: float,
+        changed: int,
+    ) -> bool:
+        """Replace the objects; return whether any differs. Needs the lock."""
+        same = versions_of(objects) == versions_of(self.objects)
+        self.through = revision
+        if not same or self.confirmed_at is None:
+            for name in self.objects.keys() - objects.keys():
+                self.removed[name] = revision
+            for name in objects:
+                self.removed.pop(name, None)
+            while len(self.removed) > MAX_REMOVED_COUNT:
+                oldest = next(iter(self.removed))
+                self.history_start = self.removed.pop(oldest)
+            self.objects = objects
+            self.changed = changed
+        self.confirm(confirmed_at)
+        return not same
+
+    def notify(self, differs: bool) -> None:
+        """Call the listeners if any object differs."""
+        if differs:
             for listener in list(self.listeners):
                 listener()
-        return not same
+
+    def changes_since(self, revision: int) -> KindChanges | None:
+        """Return what changed after a revision; ``None`` if unknown.
+
+        Revision 0 stands for a mirror that has not been read.
+        """
+        with self.lock:
+            if not revision or revision < self.history_start:
+                return None
+            return KindChanges(
+                tuple(
+                    stored
+                    for stored in self.objects.values()
+                    if stored.version > revision
+                ),
+                tuple(
+                    name
+                    for name, removed_at in self.removed.items()
+                    if removed_at > revision
+                ),
+            )
 
     def apply_digest(self, peer: KindDigest, sent_at: float) -> bool:
         """Apply the digest of a peer's mirror.
--- a/packages/chestnutshunt/chestnutshunt/usage/window_counts.py
+++ b/packages/chestnutshunt/chestnutshunt/usage/window_counts.py
@@ -49,6 +49,12 @@
                 for window, counts in self.own_counts.items()
             }
 
+    def peer_totals(self, name: str) -> Counts:
+        """Return a copy of the counts that a peer has sent."""
+        with self.lock:
+            totals = self.peer_counts.get(name, {})
+            return {window: dict(totals[window]) for window in totals}
+
     def set_peer_totals(self, name: str, counts: Counts) -> None:
         """Replace the totals of a peer for the given windows.
 
