--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
@@ -31,9 +31,12 @@
 # Timeout of reads from a peer, in addition to the wait for results.
 PEER_MARGIN_S = 0.8
 
-# Time in which a peer must accept a job; after that the job runs here.
+# Time in which a peer must accept a job; after that another one is asked.
 HAND_OVER_TIMEOUT_S = 0.5
 
+# Peers that are asked to run a job.
+MAX_HAND_OVER_COUNT = 2
+
 # Largest items of a job in one message; below the limit of 4 MiB for messages
 # between daemons.
 MAX_HAND_OVER_BYTES = 3_000_000
@@ -107,26 +110,41 @@
     def assign(self, job: job.Job) -> None:
         """Run an accepted job, at the preferred peer or here.
 
-        Jobs of one workspace and model run at the same daemon of the region
-        as long as it lives: it reuses its connections to targets, it knows
-        which target it has sent what, and it has the texts of items that are
-        submitted again. If it does not answer, the job runs here.
+        All jobs of a service run at the same daemon as long as it lives. It
+        alone fills the slots of the targets, so it knows which are free and
+        orders the items of all jobs; it reuses its connections, and it has
+        the texts of items that are submitted again. If it does not answer,
+        the next one is asked; if none does, the job runs here.
+        """
+        for peer in self.preferred_peers(job)[:MAX_HAND_OVER_COUNT]:
+            if peer is None:
+                break
+            if self.hand_over(peer, job):
+                return
+        self.runner.add(job)
+
+    def preferred_peers(self, job: job.Job) -> list[peer_info.PeerInfo | None]:
+        """Return the peers that should run a job in order of preference.
+
+        ``None`` stands for this daemon. Those near the store come first, as
+        results are written there.
         """
-        peer = self.preferred_peer(job)
-        if peer is None or not self.hand_over(peer, job):
-            self.runner.add(job)
-
-    def preferred_peer(self, job: job.Job) -> peer_info.PeerInfo | None:
-        """Return the peer that should run a job, ``None`` for this daemon."""
-        own = self.state.config.name
-        region = self.state.place.region
-        peers = {
-            peer.name: peer
-            for peer in self.state.store_peers()
-            if self.state.place.regions.get(peer.datacentre) == region
+        state = self.state
+        hubs: dict[str, tuple[float, peer_info.PeerInfo | None]] = {
+            peer.name: (peer.store_read_s, peer)
+            for peer in state.store_peers()
         }
-        key = f'{job.workspace}/{job.model}'
-        return peers.get(rendezvous.rank(key, [*peers, own])[0])
+        if state.is_hub and state.store_read_s >= 0:
+            hubs[state.config.name] = (state.store_read_s, None)
+        order = rendezvous.rank(self.service_of(job), hubs)
+        order.sort(key=lambda name: hubs[name][0] > fleet_state.NEAR_STORE_S)
+        return [hubs[name][1] for name in order]
+
+    def service_of(self, job: job.Job) -> str:
+        """Return the service that runs the items of a job."""
+        current = self.state.deployment
+        route = current and current.match_route(job.host, job.path)
+        return route.service_for(0.0) if route else ''
 
     def hand_over(self, peer: peer_info.PeerInfo, job: job.Job) -> bool:
         """Hand a job over to a peer; return False if it does not take it."""
