--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/connection_pool.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/connection_pool.py
@@ -69,6 +69,15 @@
                 return connection
             connection.close()
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection that has not expired exists."""
+        now = self.clock.monotonic()
+        with self.lock:
+            return any(
+                expires_at >= now
+                for expires_at, _, _ in self.idle.get(address, ())
+            )
+
     def keep(
         self,
         address: str,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
@@ -4,6 +4,7 @@
 import threading
 
 from chestnutshunt.lease import lease
+from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
 from chestnutshunt_daemon.fleet import fleet_state
 
@@ -33,6 +34,11 @@
 # Time between two attempts to acquire a lease that no live peer holds.
 ACQUIRE_PERIOD_S = 0.3
 
+# Hubs that try to acquire it at first, and the time without a holder after
+# which every hub does.
+CANDIDATE_COUNT = 2
+CANDIDATE_S = 4.0
+
 
 class DutyHolder:
     """Acquires and renews the lease of the duties.
@@ -69,6 +75,7 @@
         )
         self.acquired_at = 0.0
         self.held_event = threading.Event()
+        self.holder_heard_at = state.clock.monotonic()
         self.was_held = False
         state.is_holder = lambda: self.lease.is_held
         state.lease_version = lambda: self.lease.version
@@ -101,7 +108,16 @@
             return False
         if not self.state.is_hub or not self.state.topology.members:
             return False
-        return not any(peer.holder for peer in self.state.live_peers())
+        now = self.state.clock.monotonic()
+        if any(peer.holder for peer in self.state.live_peers()):
+            self.holder_heard_at = now
+            return False
+        if now - self.holder_heard_at > CANDIDATE_S:
+            return True
+        names = [peer.name for peer in self.state.store_peers()]
+        names.append(self.state.config.name)
+        first = rendezvous.rank(LEASE_NAME, names)[:CANDIDATE_COUNT]
+        return self.state.config.name in first
 
     def note_change(self) -> None:
         """Log that the lease was acquired or lost, and tell the peers."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -138,6 +138,7 @@
         stack.callback(clients.close)
         pool = connection_pool.ConnectionPool(state.clock)
         stack.callback(pool.close)
+        state.replicas.has_connection = pool.has_idle
         store = relayed_store.RelayedStore(state, adapter.store, clients)
         exchanger = exchange.Exchanger(pool, adapter.target_codec, state.clock)
         rng = random.Random()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -10,15 +10,16 @@
 from chestnutshunt import clock
 from chestnutshunt.deployment import deployment
 from chestnutshunt.jobs import job_codec
+from chestnutshunt import median_time
 from chestnutshunt.membership import fleet_member
 from chestnutshunt.membership import topology
-from chestnutshunt import median_time
 from chestnutshunt.replicas import place
 from chestnutshunt.replicas import replica_view
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import kind_mirror
 from chestnutshunt import system_clock
 from chestnutshunt.usage import window_counts
+from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.fleet import fleet_metrics
 from chestnutshunt_daemon.fleet import fleet_settings
 from chestnutshunt_daemon.fleet import store_schema
@@ -123,6 +124,9 @@
         self.is_holder: Callable[[], bool] = lambda: False
         self.lease_version: Callable[[], int] = lambda: 0
         self.note_lease: Callable[[int], None] = lambda version: None
+        self.own_demands: Callable[[], dict[str, model_demand.ModelDemand]] = (
+            dict
+        )
         self.running_job_ids: Callable[[], list[str]] = list
         self.leaving = threading.Event()
         self.stopped = threading.Event()
@@ -200,8 +204,7 @@
         return [
             peer
             for peer in list(self.peers.values())
-            if now - peer.heard_at
-            <= (hub_live_s if peer.hub else leaf_live_s)
+            if now - peer.heard_at <= (hub_live_s if peer.hub else leaf_live_s)
         ]
 
     def live_hubs(self) -> list[peer_info.PeerInfo]:
@@ -224,6 +227,15 @@
             if peer.store_read_s >= 0 and not peer.leaving
         ]
 
+    def demands(self) -> dict[str, model_demand.ModelDemand]:
+        """Return the demand for each model over all live daemons."""
+        summed = dict(self.own_demands())
+        for peer in self.live_peers():
+            for model, demand in peer.demands.items():
+                own = summed.get(model, model_demand.ModelDemand())
+                summed[model] = own.plus(demand)
+        return summed
+
     def plan_links(self) -> topology.Topology:
         """Return the links that this daemon should have now."""
         leaving = {
@@ -272,9 +284,10 @@
     def reader_rank(self, kind: str) -> int:
         """Return the rank of this daemon among the readers of a kind.
 
-        Only hubs read; leaves come after all of them. The daemon of rank 0 reads first. Daemons near the store come before
-        the others, since traffic between regions is charged; within each
-        group the order is that of a rendezvous hash of kind and name.
+        The daemon of rank 0 reads first. Only hubs read; leaves come after
+        all of them. Hubs near the store come before the others, since
+        traffic between regions is charged; within each group the order is
+        that of a rendezvous hash of kind and name.
         """
         candidates = [
             (peer.store_read_s > NEAR_STORE_S, peer.name)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
@@ -24,6 +24,9 @@
 DISCOVERY_S = 5.0
 DISCOVERY_PERIOD_S = 0.3
 
+# A seed stops that once no registration has changed for this time.
+DISCOVERY_QUIET_S = 1.2
+
 # For this long after its start a daemon that is no seed waits for one.
 SEED_WAIT_S = 1.5
 
@@ -133,10 +136,12 @@
 
     def is_discovering(self) -> bool:
         """Return whether registrations may come in quick succession."""
-        uptime_s = self.state.clock.monotonic() - self.state.started_at
-        return uptime_s < DISCOVERY_S and (
-            self.state.config.is_seed or not self.state.live_peers()
-        )
+        now = self.state.clock.monotonic()
+        if now - self.state.started_at > DISCOVERY_S:
+            return False
+        if self.state.config.is_seed:
+            return now - self.state.topology.changed_at < DISCOVERY_QUIET_S
+        return not self.state.live_peers()
 
     def read(self) -> bool:
         """Read the kind; return whether the read succeeded."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/topology_view.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/topology_view.py
@@ -1,4 +1,4 @@
-"""This daemon's view of the registered daemons and of its own links."""
+"""View that a daemon has of the registered daemons and of its links."""
 
 import logging
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
@@ -25,6 +25,10 @@
 # 0.9 s while one other target loads.
 LOAD_S = 1.15
 
+# Longest time for which a load waits until the items of the running step have
+# been started: a target starts none while it loads.
+MAX_POSTPONED_S = 2.0
+
 # Delay before the next order to a target that failed.
 RETRY_S = 1.0
 
@@ -51,6 +55,7 @@
         super().__init__(state, holder, PERIOD_S)
         self.loader = loader
         self.orders: dict[str, load_order_state.LoadOrderState] = {}
+        self.announced_at: dict[tuple[str, int], float] = {}
 
     def reset(self) -> None:
         """Forget sent orders: another holder may have sent more since."""
@@ -77,6 +82,8 @@
             return
         self.finish_loads()
         now = self.state.clock.monotonic()
+        demands = self.state.demands()
+        postponed = self.postponed_models(newest, demands)
         for service in current.services.values():
             announced = {m: newest[m] for m in service.models if m in newest}
             if not announced:
@@ -91,9 +98,34 @@
                 if (o := self.orders.get(target.start_key))
                 and o.loaded_at > now
             )
-            for load in load_plan.next_loads(targets, announced, loading):
+            for load in load_plan.next_loads(
+                targets, announced, loading, demands, postponed
+            ):
                 self.send_order(load)
 
+    def postponed_models(
+        self, newest: dict[str, int], demands: load_plan.Demands
+    ) -> frozenset[str]:
+        """Return the models with items that wait for a start.
+
+        A step may use the version before the newest one, so a load can wait
+        for up to `MAX_POSTPONED_S` after the version was announced.
+        """
+        now = self.state.clock.monotonic()
+        for key in newest.items() - self.announced_at.keys():
+            self.announced_at[key] = now
+        self.announced_at = {
+            key: at
+            for key, at in self.announced_at.items()
+            if key in newest.items()
+        }
+        return frozenset(
+            model
+            for (model, _), at in self.announced_at.items()
+            if now - at < MAX_POSTPONED_S
+            and demands.get(model, load_plan.NO_DEMAND).waiting
+        )
+
     def finish_loads(self) -> None:
         """Record loads as complete once their time has passed."""
         now = self.state.clock.monotonic()
@@ -161,6 +193,8 @@
             case result.Success(True):
                 progress.accepted_orders += 1
                 progress.loaded_at = now + LOAD_S
+                self.state.replicas.record_loading(load.target.id, LOAD_S)
+                self.state.wake_peers()
                 text = 'accepted'
             case result.Success(False):
                 self.state.replicas.record_version(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -12,6 +12,7 @@
 from chestnutshunt.jobs import result
 from chestnutshunt.jobs import score_call
 from chestnutshunt.replicas import replica
+from chestnutshunt.replicas import replica_view
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import job_run
 from chestnutshunt_daemon import target_error
@@ -32,6 +33,12 @@
 # at the same time.
 EVENT_TIMEOUT_S = 1.3
 
+# Events that are read from a slow target before an item is moved from there.
+MIN_SLOW_EVENT_COUNT = 6
+
+# Moves of one item: each makes a target read its text again.
+MAX_MOVE_COUNT = 3
+
 # Longest time of one attempt to run an item.
 ATTEMPT_TIMEOUT_S = 60.0
 
@@ -48,6 +55,10 @@
 UNPROCESSABLE_STATUS = 422
 
 
+class SlowTarget(Exception):
+    """The item is to go on at another target, which is faster."""
+
+
 class ItemRunner:
     """Runs items; called from the threads of a pool.
 
@@ -156,6 +167,10 @@
             entry.text_complete = True
             self.state.replicas.state(target).breaker.record_success()
             return True
+        except SlowTarget as exc:
+            entry.moves += 1
+            outcome = str(exc)
+            return False
         except (target_error.TargetError, ValueError) as exc:
             if run.ended.is_set():
                 outcome = 'stopped, its job was ended'
@@ -238,6 +253,7 @@
         version = response.head.version
         codec = self.exchanger.codec
         last_event_at = self.state.clock.monotonic()
+        event_count = 0
         for data in response.chunks():
             now = self.state.clock.monotonic()
             events = list(reader.feed(data))
@@ -262,11 +278,47 @@
                     target, (now - last_event_at) / len(events)
                 )
                 last_event_at = now
+                event_count += len(events)
+                if event_count >= MIN_SLOW_EVENT_COUNT:
+                    self.check_speed(run, entry, route, target)
         if reader.buffer.strip():
             raise ValueError('The stream ends inside an event.')
         if entry.last_event is None:
             raise ValueError('The stream has no events.')
 
+    def check_speed(
+        self,
+        run: job_run.JobRun,
+        entry: item_state.ItemState,
+        route: route.Route,
+        target: replica.Replica,
+    ) -> None:
+        """Raise `SlowTarget` if another target would go on much faster.
+
+        A step lasts as long as its slowest item, so one slow target delays
+        all of it.
+        """
+        view = self.state.replicas
+        ratio = view.relative_interval(target)
+        if ratio < replica_view.SLOW_RATIO or entry.moves >= MAX_MOVE_COUNT:
+            return
+        other = view.choose_engine(
+            target.service,
+            run.job.model,
+            run.job.minimum_version,
+            exact=entry.versions[0] if route.single_version else None,
+            avoided=target.id,
+        )
+        if (
+            other is not None
+            and other.id != target.id
+            and view.relative_interval(other) < replica_view.SLOW_RATIO
+        ):
+            entry.avoided_target = target.id
+            raise SlowTarget(
+                f'Its events take {ratio:.1f} times as long as usual.'
+            )
+
     def record_failure(
         self,
         entry: item_state.ItemState,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_run.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_run.py
@@ -76,6 +76,14 @@
         """True once every item has a listed result."""
         return len(self.result_log.listed_ids) >= len(self.item_states)
 
+    @property
+    def is_finished(self) -> bool:
+        """True once no result of an item is awaited any more."""
+        return all(
+            entry.finished or entry.item.id in self.result_log.listed_ids
+            for entry in self.order
+        )
+
     def start(self) -> None:
         """Start the thread that lists results."""
         self.thread.start()
@@ -118,7 +126,8 @@
             self.wake.wait(1.0)
             self.wake.clear()
             if self.pending_results:
-                self.clock.sleep(BATCH_DELAY_S)
+                if not self.is_finished:
+                    self.clock.sleep(BATCH_DELAY_S)
                 self.list_pending()
             if self.pending_results:
                 self.wake.set()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -1,5 +1,6 @@
 """Runs the jobs that this daemon was given or has taken over."""
 
+from collections.abc import Callable
 from concurrent import futures
 import logging
 import threading
@@ -16,6 +17,7 @@
 from chestnutshunt.replicas import replica
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
+from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import item_runner
 from chestnutshunt_daemon.jobs import job_run
@@ -32,6 +34,13 @@
 
 REVIEW_INTERVAL_S = 0.4
 
+# Weight of the present number of items in its moving average, which then spans
+# about two steps.
+DEMAND_WEIGHT_RATIO = 0.04
+
+# A model with fewer items on average has no demand any more.
+MIN_DEMAND_ITEMS = 0.05
+
 # A job is taken over when no live daemon has run it for this long: one
 # heartbeat more than a peer counts as live without one.
 ORPHAN_TIMEOUT_S = 1.3
@@ -82,6 +91,8 @@
         self.lock = threading.Lock()
         self.added = threading.Event()
         state.running_job_ids = self.job_ids
+        self.mean_items: dict[str, float] = {}
+        state.own_demands = self.demands
 
     def make_run(self, job: job.Job) -> job_run.JobRun:
         """Return the state of a job, to be run or read here."""
@@ -91,6 +102,39 @@
         """Return the ids of the jobs that run here."""
         return list(self.runs)
 
+    def demands(self) -> dict[str, model_demand.ModelDemand]:
+        """Return the demand of the jobs that run here, by model."""
+        waiting = self.count_items(lambda entry: not entry.running)
+        return {
+            model: model_demand.ModelDemand(items, waiting.get(model, 0))
+            for model, items in list(self.mean_items.items())
+        }
+
+    def count_items(
+        self, is_counted: Callable[[item_state.ItemState], bool]
+    ) -> dict[str, int]:
+        """Return the number of unfinished items that count, by model."""
+        counts: dict[str, int] = {}
+        for run in list(self.runs.values()):
+            if run.job.model and not run.ended.is_set():
+                counts[run.job.model] = counts.get(run.job.model, 0) + sum(
+                    not entry.finished
+                    and not entry.text_complete
+                    and is_counted(entry)
+                    for entry in run.order
+                )
+        return counts
+
+    def update_demand(self) -> None:
+        """Add the present number of items to the moving averages."""
+        counts = self.count_items(lambda entry: True)
+        for model in counts.keys() | self.mean_items.keys():
+            mean = self.mean_items.get(model, 0.0)
+            mean += DEMAND_WEIGHT_RATIO * (counts.get(model, 0) - mean)
+            self.mean_items[model] = mean
+            if mean < MIN_DEMAND_ITEMS:
+                del self.mean_items[model]
+
     def add(self, job: job.Job) -> job_run.JobRun:
         """Run an accepted job; return its run if there is one already."""
         with self.lock:
@@ -207,6 +251,7 @@
             run.job.minimum_version,
             run.group_targets.get(entry.item.prompt_group, ()),
             exact_version,
+            entry.avoided_target,
         )
 
     def is_loaded(self, service: str, model: str, version: int) -> bool:
@@ -236,6 +281,7 @@
     def review_once(self) -> None:
         """Drop old ended jobs and take over orphaned ones."""
         now = self.state.clock.monotonic()
+        self.update_demand()
         ended = list(self.ended_at.items())
         for number, (job_id, at) in enumerate(ended):
             too_many = number < len(ended) - MAX_ENDED_JOBS_COUNT
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_mesh.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_mesh.py
@@ -132,9 +132,7 @@
         if now - self.state.started_at > START_S:
             return True
         view = self.state.topology
-        return (
-            bool(view.members) and now - view.changed_at > START_SETTLED_S
-        )
+        return bool(view.members) and now - view.changed_at > START_SETTLED_S
 
     def run_pulls(self) -> None:
         """Pull from peers whose heartbeats announced newer objects."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
@@ -3,6 +3,7 @@
 import logging
 
 from chestnutshunt.routing import rendezvous
+from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.peers import peer_info
@@ -66,6 +67,12 @@
         )
     for name, running in loads_for(state, for_leaf).items():
         heartbeat.loads.add(replica=name, running=running)
+    for model, demand in state.own_demands().items():
+        heartbeat.demands.add(
+            model=model, items=demand.items, waiting=demand.waiting
+        )
+    for name, left_s in state.replicas.loading_s().items():
+        heartbeat.loading.add(replica=name, left_s=left_s)
     crashes = list(state.quarantine.snapshot().items())
     for digest, names in crashes[-MAX_CRASH_COUNT:]:
         heartbeat.crashes.add(digest=digest, replicas=names)
@@ -86,9 +93,7 @@
     return rendezvous.rank(state.config.name, hubs)[0] if hubs else ''
 
 
-def loads_for(
-    state: fleet_state.FleetState, for_leaf: bool
-) -> dict[str, int]:
+def loads_for(state: fleet_state.FleetState, for_leaf: bool) -> dict[str, int]:
     """Return the requests at each target that a receiver does not know of.
 
     For a hub these are the requests of this daemon and of its leaves, for a
@@ -104,14 +109,10 @@
     state: fleet_state.FleetState, for_leaf: bool
 ) -> list[peer_info.PeerInfo]:
     """Return the peers of which a receiver is to be told."""
-    leaves = [
-        peer for peer in state.live_leaves() if peer.jobs or peer.holder
-    ]
+    leaves = [peer for peer in state.live_leaves() if peer.jobs or peer.holder]
     if not for_leaf:
         return leaves
-    others = [
-        peer for peer in state.live_peers() if peer.hub or peer.relayed
-    ]
+    others = [peer for peer in state.live_peers() if peer.hub or peer.relayed]
     return [*others, *leaves]
 
 
@@ -168,6 +169,10 @@
         store_read_s=message.store_s,
         heard_at=now,
         hub=not message.leaf,
+        demands={
+            entry.model: model_demand.ModelDemand(entry.items, entry.waiting)
+            for entry in message.demands
+        },
     )
     state.peers[message.name] = peer
     state.topology.note_reached(message.name)
@@ -180,6 +185,8 @@
         )
     state.time.record_peer(message.name, message.wall_s, read_at)
     apply_loads(state, message)
+    for entry in message.loading:
+        state.replicas.record_loading(entry.replica, entry.left_s)
     apply_peers(state, message, now)
     state.quarantine.merge_peer_report(
         {entry.digest: list(entry.replicas) for entry in message.crashes}
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat_exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat_exchange.py
@@ -1,7 +1,5 @@
 """Exchange of heartbeats with one peer, called by this daemon."""
 
-import grpc
-
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.peers import fleet_codec
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/peer_info.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/peer_info.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from chestnutshunt.weights import model_demand
+
 __all__ = ['PeerInfo']
 
 
@@ -30,6 +32,8 @@
         Whether it counts itself as a hub.
     relayed : bool
         Whether a hub passed this on; the daemon itself was not heard.
+    demands : dict of str to ModelDemand
+        Demand of the jobs that it runs, by model.
     """
 
     name: str
@@ -43,6 +47,7 @@
     heard_at: float
     hub: bool = True
     relayed: bool = False
+    demands: dict[str, model_demand.ModelDemand] = attrs.field(factory=dict)
 
     @property
     def source(self) -> str:
--- a/packages/chestnutshunt/chestnutshunt/attempts/quarantine.py
+++ b/packages/chestnutshunt/chestnutshunt/attempts/quarantine.py
@@ -19,6 +19,10 @@
 # that had just moved from one to the other.
 WAVE_S = 0.25
 
+# Time for which a request whose crashes counted once is refused: it may be the
+# cause after all. Another crash after that counts.
+PROBATION_S = 2.0
+
 
 class Quarantine:
     """Records which targets each request crashed, by request digest.
@@ -34,18 +38,20 @@
     def __init__(self, clock: clock.Clock) -> None:
         self.clock = clock
         self.crash_times: dict[str, dict[str, float]] = {}
+        self.wave_times: dict[str, float] = {}
         self.lock = threading.Lock()
 
     def record_crash(self, digest: str, target: str) -> None:
         """Record that a target crashed while it ran the request.
 
         A crash within `WAVE_S` of another one of the same request is no
-        evidence of its own and is left out.
+        evidence of its own; it only has the request refused for a while.
         """
         now = self.clock.monotonic()
         with self.lock:
             earlier = self.crash_times.get(digest, {}).values()
             if any(now - at < WAVE_S for at in earlier):
+                self.wave_times[digest] = now
                 return
             self.add(digest, target, now)
 
@@ -54,7 +60,9 @@
         times_by_target = self.crash_times.setdefault(digest, {})
         times_by_target.setdefault(target, at)
         while len(self.crash_times) > MAX_DIGEST_COUNT:
-            del self.crash_times[next(iter(self.crash_times))]
+            dropped = next(iter(self.crash_times))
+            del self.crash_times[dropped]
+            self.wave_times.pop(dropped, None)
 
     def refuses(self, digest: str) -> bool:
         """Return whether the request has crashed too many targets."""
@@ -62,6 +70,10 @@
             times_by_target = self.crash_times.get(digest)
             if not times_by_target:
                 return False
+            wave_at = self.wave_times.get(digest, float('-inf'))
+            if self.clock.monotonic() - wave_at < PROBATION_S:
+                return True
+            self.wave_times.pop(digest, None)
             oldest = self.clock.monotonic() - ENTRY_LIFETIME_S
             if max(times_by_target.values()) < oldest:
                 del self.crash_times[digest]
--- a/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
@@ -34,6 +34,10 @@
         True once the item has a result.
     not_before : float
         Monotonic time in seconds before which the item is not retried.
+    moves : int
+        Times the item was moved from a slow target.
+    avoided_target : str
+        Id of the last such target.
     """
 
     item: item.Item
@@ -46,6 +50,8 @@
     running: bool = False
     finished: bool = False
     not_before: float = 0.0
+    moves: int = 0
+    avoided_target: str = ''
 
     def add_event(self, event_id: int, data: str, version: int | None) -> None:
         """Append an event and the weight version that generated it."""
--- a/packages/chestnutshunt/chestnutshunt/membership/topology.py
+++ b/packages/chestnutshunt/chestnutshunt/membership/topology.py
@@ -104,9 +104,7 @@
     The daemons of the largest VMs come first; those of equal VMs are ordered
     by a rendezvous hash.
     """
-    count = max(
-        MIN_HUB_COUNT, math.ceil(len(members) / LEAVES_PER_HUB_COUNT)
-    )
+    count = max(MIN_HUB_COUNT, math.ceil(len(members) / LEAVES_PER_HUB_COUNT))
     ranked = sorted(
         members,
         key=lambda member: (
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_state.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_state.py
@@ -29,6 +29,11 @@
     event_interval_s : float
         Moving average of the seconds between two events of a stream; 0 if
         unknown.
+    event_at : float
+        Monotonic time in seconds of the last event in that average.
+    loading_until : float
+        Monotonic time in seconds until which the target loads weights, as
+        far as is known.
     """
 
     breaker: breaker.CircuitBreaker
@@ -39,3 +44,5 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     full_until: float = 0.0
     event_interval_s: float = 0.0
+    event_at: float = -1e9
+    loading_until: float = 0.0
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 import logging
 import random
+import statistics
 import threading
 
 import attrs
@@ -17,7 +18,7 @@
 from chestnutshunt.store import kind_mirror
 from chestnutshunt.store import stored_object
 
-__all__ = ['ReplicaView']
+__all__ = ['SLOW_RATIO', 'ReplicaView']
 
 LOG = logging.getLogger(__name__)
 
@@ -46,6 +47,25 @@
 # used: it is loading weights, which takes about 1 s.
 LOADING_BACKOFF_S = 0.2
 
+# Time after the last event for which the interval of a target's events is
+# used: a target that was slow may have recovered.
+EVENT_INTERVAL_TTL_S = 4.0
+
+# Time between two computations of the usual interval of a service.
+USUAL_INTERVAL_PERIOD_S = 0.2
+
+# A target whose events take this many times as long as usual is slow.
+SLOW_RATIO = 1.8
+
+# Cost of a target whose events come twice as slowly as is usual, as a ratio of
+# its slots; and the greatest such cost.
+SLOWNESS_COST_RATIO = 0.5
+MAX_SLOWNESS_COST_RATIO = 1.5
+
+# Cost of a target without an idle connection from here. Below the cost of
+# another region, so that connections stay near.
+NEW_CONNECTION_COST_RATIO = 0.3
+
 # Weight of a new interval in the moving average of event intervals.
 EVENT_INTERVAL_WEIGHT_RATIO = 0.2
 
@@ -90,6 +110,8 @@
         self.states: dict[str, replica_state.ReplicaState] = {}
         self.lapsed_replicas: dict[str, tuple[float, replica.Replica]] = {}
         self.peer_loads: dict[str, tuple[float, dict[str, int]]] = {}
+        self.usual_intervals: dict[str, tuple[float, float]] = {}
+        self.has_connection: Callable[[str], bool] = lambda address: True
         mirror.listeners.append(self.refresh)
 
     def refresh(self) -> None:
@@ -262,6 +284,7 @@
         minimum: int,
         preferred: Iterable[str] = (),
         exact: int | None = None,
+        avoided: str = '',
     ) -> replica.Replica | None:
         """Return a healthy target with a free slot and suitable weights.
 
@@ -277,6 +300,8 @@
             Ids of targets that have already read the prompt.
         exact : int, optional
             The only suitable weight version, instead of `minimum`.
+        avoided : str, optional
+            Id of a target that is used only if there is no other.
         """
         now = self.clock.monotonic()
         candidates = [
@@ -284,11 +309,19 @@
             for item in self.serving(service)
             if self.is_healthy(item)
             and self.state(item).full_until <= now
+            and self.state(item).loading_until <= now
             and self.load(item) < item.slots
             and self.has_version(item, model, minimum, exact)
         ]
         preferred_ids = set(preferred)
-        warm = [item for item in candidates if item.id in preferred_ids]
+        others = [item for item in candidates if item.id != avoided]
+        candidates = others or candidates
+        warm = [
+            item
+            for item in candidates
+            if item.id in preferred_ids
+            and self.relative_interval(item) < SLOW_RATIO
+        ]
         return min(warm or candidates, key=self.cost, default=None)
 
     def has_version(
@@ -311,8 +344,8 @@
     def cost(self, target: replica.Replica) -> float:
         """Return the cost of a target; the lowest is the best choice.
 
-        The sum of its load per slot, its distance, its mean seconds between
-        stream events and a small random amount.
+        The sum of its load per slot, its distance, the time for a new
+        connection, its slowness and a small random amount.
         """
         distance = 0.0
         if target.datacentre != self.own_place.datacentre:
@@ -326,14 +359,46 @@
                 else OTHER_REGION_COST_RATIO
             )
         load = self.load(target) / max(target.slots, 1)
-        state = self.state(target)
+        if not self.has_connection(target.address):
+            distance += NEW_CONNECTION_COST_RATIO
+        slowness = SLOWNESS_COST_RATIO * (self.relative_interval(target) - 1)
         return (
             load
             + distance
-            + state.event_interval_s
+            + min(max(slowness, 0.0), MAX_SLOWNESS_COST_RATIO)
+            + self.event_interval_s(target)
             + self.rng.random() * TIE_BREAK_COST_RATIO
         )
 
+    def relative_interval(self, target: replica.Replica) -> float:
+        """Return how slowly a target makes events, 1 for the usual speed.
+
+        Compared are the targets of its service of which the speed is known.
+        """
+        own_s = self.event_interval_s(target)
+        usual_s = self.usual_interval_s(target.service) if own_s else 0.0
+        return own_s / usual_s if usual_s else 1.0
+
+    def usual_interval_s(self, service: str) -> float:
+        """Return the median interval of a service's events; 0 if unknown."""
+        now = self.clock.monotonic()
+        computed_at, median_s = self.usual_intervals.get(service, (-1e9, 0.0))
+        if now - computed_at > USUAL_INTERVAL_PERIOD_S:
+            known = [
+                interval_s
+                for target in self.serving(service)
+                if (interval_s := self.event_interval_s(target))
+            ]
+            median_s = statistics.median_low(known) if known else 0.0
+            self.usual_intervals[service] = (now, median_s)
+        return median_s
+
+    def event_interval_s(self, target: replica.Replica) -> float:
+        """Return the recent seconds between events; 0 if unknown."""
+        state = self.state(target)
+        age_s = self.clock.monotonic() - state.event_at
+        return state.event_interval_s if age_s < EVENT_INTERVAL_TTL_S else 0.0
+
     def begin_request(self, target: replica.Replica) -> None:
         """Count a request that this daemon sends to a target."""
         with self.lock:
@@ -374,12 +439,31 @@
         if model:
             self.state(target).versions[model] = version
 
+    def record_loading(self, target_id: str, left_s: float) -> None:
+        """Record for how many seconds more a target loads weights."""
+        target = self.replicas.get(target_id)
+        if target is not None:
+            state = self.state(target)
+            state.loading_until = self.clock.monotonic() + left_s
+
+    def loading_s(self) -> dict[str, float]:
+        """Return the targets that load weights, and for how long more."""
+        now = self.clock.monotonic()
+        with self.lock:
+            return {
+                target.id: state.loading_until - now
+                for target in self.replicas.values()
+                if (state := self.states.get(target.start_key))
+                and state.loading_until > now
+            }
+
     def record_event_interval(
         self, target: replica.Replica, interval_s: float
     ) -> None:
         """Add the time between two stream events to the moving average."""
+        mean_s = self.event_interval_s(target) or interval_s
         state = self.state(target)
-        mean_s = state.event_interval_s or interval_s
+        state.event_at = self.clock.monotonic()
         state.event_interval_s = mean_s + EVENT_INTERVAL_WEIGHT_RATIO * (
             interval_s - mean_s
         )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,6 +17,8 @@
     crashes.record_crash('digest', 't1')
     clock.advance(0.01)
     crashes.record_crash('digest', 't2')
+    assert crashes.refuses('digest')
+    clock.advance(quarantine.PROBATION_S)
     assert not crashes.refuses('digest')
 
 
