--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
@@ -109,7 +109,8 @@
         """Return the models with items that wait for a start.
 
         A step may use the version before the newest one, so a load can wait
-        for up to `MAX_POSTPONED_S` after the version was announced.
+        for up to `MAX_POSTPONED_S` after the version was announced, unless
+        the items of a later step wait for that version.
         """
         now = self.state.clock.monotonic()
         for key in newest.items() - self.announced_at.keys():
@@ -121,9 +122,10 @@
         }
         return frozenset(
             model
-            for (model, _), at in self.announced_at.items()
+            for (model, version), at in self.announced_at.items()
             if now - at < MAX_POSTPONED_S
-            and demands.get(model, load_plan.NO_DEMAND).waiting
+            and (demand := demands.get(model, load_plan.NO_DEMAND)).waiting
+            and demand.needed_version < version
         )
 
     def finish_loads(self) -> None:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -105,8 +105,17 @@
     def demands(self) -> dict[str, model_demand.ModelDemand]:
         """Return the demand of the jobs that run here, by model."""
         waiting = self.count_items(lambda entry: not entry.running)
+        needed: dict[str, int] = {}
+        for run in list(self.runs.values()):
+            if run.startable_items():
+                model = run.job.model
+                needed[model] = max(
+                    run.job.minimum_version, needed.get(model, 0)
+                )
         return {
-            model: model_demand.ModelDemand(items, waiting.get(model, 0))
+            model: model_demand.ModelDemand(
+                items, waiting.get(model, 0), needed.get(model, 0)
+            )
             for model, items in list(self.mean_items.items())
         }
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_codec.py
@@ -5,15 +5,18 @@
 
 from chestnutshunt.store import kind_mirror
 from chestnutshunt.store import stored_object
+from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.peers import peer_info
 from chestnutshunt_daemon.wire import fleet_pb2
 
 __all__ = [
     'decode_changes',
+    'decode_demand',
     'decode_digest',
     'decode_objects',
     'decode_peer',
     'decode_tallies',
+    'encode_demand',
     'encode_digest',
     'encode_objects',
     'encode_peer',
@@ -40,6 +43,25 @@
     )
 
 
+def encode_demand(
+    model: str, demand: model_demand.ModelDemand
+) -> fleet_pb2.Demand:
+    """Return the message for the demand for a model."""
+    return fleet_pb2.Demand(
+        model=model,
+        items=demand.items,
+        waiting=demand.waiting,
+        needed_version=demand.needed_version,
+    )
+
+
+def decode_demand(message: fleet_pb2.Demand) -> model_demand.ModelDemand:
+    """Build the demand for a model from its message."""
+    return model_demand.ModelDemand(
+        message.items, message.waiting, message.needed_version
+    )
+
+
 def encode_objects(objects: list[stored_object.StoredObject]) -> bytes:
     """Return stored objects as JSON."""
     rows = [
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
@@ -3,7 +3,6 @@
 import logging
 
 from chestnutshunt.routing import rendezvous
-from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.peers import peer_info
@@ -68,9 +67,7 @@
     for name, running in loads_for(state, for_leaf).items():
         heartbeat.loads.add(replica=name, running=running)
     for model, demand in state.own_demands().items():
-        heartbeat.demands.add(
-            model=model, items=demand.items, waiting=demand.waiting
-        )
+        heartbeat.demands.append(fleet_codec.encode_demand(model, demand))
     for name, left_s in state.replicas.loading_s().items():
         heartbeat.loading.add(replica=name, left_s=left_s)
     crashes = list(state.quarantine.snapshot().items())
@@ -170,7 +167,7 @@
         heard_at=now,
         hub=not message.leaf,
         demands={
-            entry.model: model_demand.ModelDemand(entry.items, entry.waiting)
+            entry.model: fleet_codec.decode_demand(entry)
             for entry in message.demands
         },
     )
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -366,3 +366,60 @@
     harness.runner.orphaned_since['j'] = since
     harness.runner.review_once()
     wait_until(lambda: harness.runner.runs['j'].is_done)
+
+
+def test_an_item_goes_on_at_a_faster_target(stack):
+    """A step lasts as long as its slowest item.
+
+    One target slowed down to a quarter of its speed and held up each step
+    of which it had an item.
+    """
+    harness = Harness(stack)
+
+    def go_on(connection, fields):
+        first_event = int(fields['last-event-id']) + 1
+        fake_target.events(*range(first_event, 11), version=5)(
+            connection, fields
+        )
+
+    def slow_down(connection, fields):
+        harness.add('t2', go_on)
+        fast = harness.state.replicas.replicas['t2']
+        slow = harness.state.replicas.replicas['t1']
+        harness.state.replicas.record_event_interval(fast, 0.05)
+        for _ in range(20):
+            harness.state.replicas.record_event_interval(slow, 3.0)
+        fake_target.events(*range(1, 8), complete=False, version=5)(
+            connection, fields
+        )
+
+    first = harness.add('t1', slow_down)
+    (listed,) = harness.results(make_job())
+    assert listed.text == '\n'.join(f'd{n}' for n in range(1, 11))
+    assert len(first.heads) == 1
+
+
+def test_the_last_results_of_a_job_are_listed_at_once(stack):
+    """A trainer waits for the last group, not for a batch to fill."""
+    harness = Harness(stack)
+    harness.add('t1', COMPLETE_STREAM)
+    slept = []
+    run = harness.runner.make_run(make_job())
+    run.clock = harness.state.clock
+    run.clock.sleep = lambda seconds: slept.append(seconds)
+    entry = run.order[0]
+    run.finish(entry, result.Result('i0', True, 'x', (5,), ''))
+    run.start()
+    wait_until(lambda: run.is_done)
+    assert slept == []
+
+
+def test_demand_counts_unfinished_items(stack):
+    harness = Harness(stack)
+    run = harness.runner.make_run(make_job(count=3))
+    harness.runner.runs['j'] = run
+    harness.runner.update_demand()
+    (demand,) = harness.runner.demands().values()
+    assert demand.waiting == 3
+    assert demand.needed_version == 5
+    assert demand.items > 0
--- a/tests/replicas/test_replica_view.py
+++ b/tests/replicas/test_replica_view.py
@@ -14,8 +14,7 @@
     return replica.Replica(
         id=stored.name,
         service='s',
-        address='127.0.0.1:1',
-        **{'slots': 2, **stored.value},
+        **{'slots': 2, 'address': '127.0.0.1:1', **stored.value},
     )
 
 
@@ -139,3 +138,50 @@
     target = harness.view.list_all()[0]
     assert not harness.view.has_version(target, 'm', 3)
     assert harness.view.with_versions(target).versions == {'m': 2}
+
+
+M1 = {**A, 'versions': {'m': 1}}
+
+
+def test_a_target_that_loads_weights_gets_no_items():
+    """Many runners sent items to targets that refused them while loading."""
+    harness = ViewHarness(x=M1, y=M1)
+    harness.view.record_loading('x', 1.0)
+    for _ in range(2):
+        target = harness.view.choose_engine('s', 'm', 1)
+        assert target.id == 'y'
+        harness.view.begin_request(target)
+    assert harness.view.choose_engine('s', 'm', 1) is None
+    assert harness.view.loading_s() == {'x': 1.0}
+    harness.clock.advance(1.1)
+    assert harness.view.choose_engine('s', 'm', 1).id == 'x'
+
+
+def test_a_slow_target_is_not_preferred_for_its_prompt():
+    harness = ViewHarness(x=M1, y=M1, z=M1)
+    for name, interval_s in (('x', 0.14), ('y', 0.04), ('z', 0.04)):
+        target = harness.view.replicas[name]
+        harness.view.record_event_interval(target, interval_s)
+    assert harness.view.choose_engine('s', 'm', 1, ['x']).id != 'x'
+    harness.clock.advance(replica_view.EVENT_INTERVAL_TTL_S)
+    assert harness.view.choose_engine('s', 'm', 1, ['x']).id == 'x'
+
+
+def test_an_avoided_target_is_used_if_there_is_no_other():
+    harness = ViewHarness(x=M1)
+    assert harness.view.choose_engine('s', 'm', 1, avoided='x').id == 'x'
+
+
+def test_few_requests_at_hundreds_of_daemons_reuse_connections():
+    """Each daemon opened connections to all targets for a request or two."""
+    harness = ViewHarness(
+        **{f't{n}': {**A, 'address': f'10.0.0.{n}:1'} for n in range(12)}
+    )
+    opened = set()
+    harness.view.has_connection = lambda address: address in opened
+    targets = []
+    for _ in range(20):
+        target = harness.view.choose('s')
+        opened.add(target.address)
+        targets.append(target.id)
+    assert len(set(targets)) == 1
