--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -282,10 +282,9 @@
         return names <= {peer.name for peer in self.live_peers()}
 
     def reader_rank(self, kind: str) -> int:
-        """Return the rank of this daemon among the readers of a kind.
+        """Return the rank of this hub among the readers of a kind.
 
-        The daemon of rank 0 reads first. Only hubs read; leaves come after
-        all of them. Hubs near the store come before the others, since
+        The hub of rank 0 reads first. Hubs near the store come before the others, since
         traffic between regions is charged; within each group the order is
         that of a rendezvous hash of kind and name.
         """
@@ -297,8 +296,6 @@
             self.store_read_s > NEAR_STORE_S or self.store_read_s < 0,
             self.config.name,
         )
-        if not self.is_hub:
-            return len(candidates)
         order = sorted(
             [*candidates, own],
             key=lambda pair: (pair[0], rendezvous.score(kind, pair[1])),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
@@ -27,8 +27,10 @@
 # A seed stops that once no registration has changed for this time.
 DISCOVERY_QUIET_S = 1.2
 
-# For this long after its start a daemon that is no seed waits for one.
+# For this long after its start a daemon that is no seed waits for one; longer
+# if a seed has replied, which may not have read everything yet.
 SEED_WAIT_S = 1.5
+REPLIED_SEED_WAIT_S = 4.0
 
 # Delay after a failed read, of a hub and of a leaf.
 RETRY_S = 0.3
@@ -101,23 +103,23 @@
         """Return the age of the mirror at which this daemon reads."""
         if self.kind == fleet_state.DAEMON_KIND and self.is_discovering():
             return DISCOVERY_PERIOD_S
-        rank = min(self.state.reader_rank(self.kind), MAX_RANK)
-        age_s = self.period_s + rank * STANDBY_S
-        if not self.state.is_hub:
-            score = rendezvous.score(self.kind, self.state.config.name)
-            spread = int.from_bytes(score) / SCORE_RANGE
-            age_s += spread * LEAF_SPREAD_S
-        return age_s
+        if self.state.is_hub:
+            rank = min(self.state.reader_rank(self.kind), MAX_RANK)
+            return self.period_s + rank * STANDBY_S
+        rank = MAX_RANK if self.state.live_hubs() else 0
+        score = rendezvous.score(self.kind, self.state.config.name)
+        spread = int.from_bytes(score) / SCORE_RANGE
+        return self.period_s + rank * STANDBY_S + spread * LEAF_SPREAD_S
 
     def is_waiting_for_seed(self) -> bool:
         """Return whether a seed may still tell what the store holds."""
         config = self.state.config
+        if not config.seeds or config.is_seed:
+            return False
         uptime_s = self.state.clock.monotonic() - self.state.started_at
-        return (
-            bool(config.seeds)
-            and not config.is_seed
-            and self.mirror.confirmed_at is None
-            and uptime_s < SEED_WAIT_S
+        has_replied = bool(self.state.peers)
+        return self.mirror.confirmed_at is None and uptime_s < (
+            REPLIED_SEED_WAIT_S if has_replied else SEED_WAIT_S
         )
 
     def is_store_lost(self) -> bool:
