--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -284,9 +284,9 @@
     def reader_rank(self, kind: str) -> int:
         """Return the rank of this hub among the readers of a kind.
 
-        The hub of rank 0 reads first. Hubs near the store come before the others, since
-        traffic between regions is charged; within each group the order is
-        that of a rendezvous hash of kind and name.
+        The hub of rank 0 reads first. Hubs near the store come before the
+        others, since traffic between regions is charged; within each group
+        the order is that of a rendezvous hash of kind and name.
         """
         candidates = [
             (peer.store_read_s > NEAR_STORE_S, peer.name)
--- a/tests/fleet/test_mirror_reader.py
+++ b/tests/fleet/test_mirror_reader.py
@@ -49,7 +49,15 @@
 
 def hear(state, name):
     state.peers[name] = peer_info.PeerInfo(
-        name, 'i', 'a', 'x:1', False, False, frozenset(), 0.004, 0.0
+        name,
+        'i',
+        'a',
+        'x:1',
+        False,
+        False,
+        frozenset(),
+        0.004,
+        state.clock.monotonic(),
     )
 
 
