Answer for the body of an item at a daemon that does not run its job

JobApi.item_body read a field that the reply of a peer does not have since the renaming, and answered 500. The test asked one daemon, which happened to run the job; it now asks all of them.

Jobs of a service run at one daemon only if its VM can serve all its slots; else those of one workspace and model run together, as before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
@@ -37,6 +37,9 @@
 # Peers that are asked to run a job.
 MAX_HAND_OVER_COUNT = 2
 
+# Running items that a daemon with one core can serve.
+SLOTS_PER_CORE = 100
+
 # Largest items of a job in one message; below the limit of 4 MiB for messages
 # between daemons.
 MAX_HAND_OVER_BYTES = 3_000_000
@@ -110,11 +113,13 @@
     def assign(self, job: job.Job) -> None:
         """Run an accepted job, at the preferred peer or here.
 
-        All jobs of a service run at the same daemon as long as it lives. It
-        alone fills the slots of the targets, so it knows which are free and
-        orders the items of all jobs; it reuses its connections, and it has
-        the texts of items that are submitted again. If it does not answer,
-        the next one is asked; if none does, the job runs here.
+        All jobs of a service run at the same daemon as long as it lives, if
+        its VM can serve that many slots. It alone fills the slots of the
+        targets, so it knows which are free and orders the items of all jobs;
+        it reuses its connections, and it has the texts of items that are
+        submitted again. For a service with more slots, only the jobs of one
+        workspace and model run together. If the daemon does not answer, the
+        next one is asked; if none does, the job runs here.
         """
         for peer in self.preferred_peers(job)[:MAX_HAND_OVER_COUNT]:
             if peer is None:
@@ -136,10 +141,20 @@
         }
         if state.is_hub and state.store_read_s >= 0:
             hubs[state.config.name] = (state.store_read_s, None)
-        order = rendezvous.rank(self.service_of(job), hubs)
+        service = self.service_of(job)
+        order = rendezvous.rank(service, hubs)
+        if order and not self.can_serve(order[0], service):
+            order = rendezvous.rank(f'{job.workspace}/{job.model}', hubs)
         order.sort(key=lambda name: hubs[name][0] > fleet_state.NEAR_STORE_S)
         return [hubs[name][1] for name in order]
 
+    def can_serve(self, name: str, service: str) -> bool:
+        """Return whether a daemon's VM can serve all slots of a service."""
+        view = self.state.topology
+        member = view.members.get(name, view.own)
+        slots = sum(x.slots for x in self.state.replicas.serving(service))
+        return slots <= member.capacity * SLOTS_PER_CORE
+
     def service_of(self, job: job.Job) -> str:
         """Return the service that runs the items of a job."""
         current = self.state.deployment
@@ -189,7 +204,7 @@
         else:
             value = self.find(job_id, workspace)
             reply = self.read_item_from_peer(job_id, item_id)
-            if reply is not None and reply.known_peers:
+            if reply is not None and reply.known:
                 return reply.body
             run = self.readable_run(value)
         entry = run.item_states.get(item_id)
--- a/tests/faults/test_fleet.py
+++ b/tests/faults/test_fleet.py
@@ -198,8 +198,9 @@
     pages = [wait_listed(daemon, 'j1', 3) for daemon in daemons]
     assert pages[0] == pages[1] == pages[2]
     assert pages[0]['results'][0]['text'] == 'd1\nd2'
-    item = daemons[2].call('GET', '/v1/items/j1?id=i1')
-    assert (item.status, item.data) == (200, b'x')
+    for daemon in daemons:
+        item = daemon.call('GET', '/v1/items/j1?id=i1')
+        assert (item.status, item.data) == (200, b'x')
     assert daemons[2].call('DELETE', '/v1/lots/j1').status == 200
     assert daemons[0].call('DELETE', '/v1/lots/j1').status == 200
     assert daemons[0].call('GET', '/v1/lots/other').status == 404
