--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peer_service.py
@@ -240,8 +240,10 @@
         frame.counts.add(target=name, in_flight=count)
     for service, waiting in state.queue_snapshot().items():
         frame.queues.add(service=service, waiting=waiting)
-    for digest, targets in state.quarantine.snapshot().items():
-        frame.crashes.add(digest=digest, targets=targets)
+    for digest, ages in state.quarantine.snapshot().items():
+        frame.crashes.add(
+            digest=digest, targets=ages.keys(), ages_s=ages.values()
+        )
     return frame
 
 
@@ -257,7 +259,10 @@
     state.load_view.record_peer_report(peer.name, counts)
     waiting = {item.service: item.waiting for item in frame.queues}
     state.queue_view.record_peer_report(peer.name, waiting)
-    crashes = {item.digest: list(item.targets) for item in frame.crashes}
+    crashes = {
+        item.digest: dict(zip(item.targets, item.ages_s, strict=False))
+        for item in frame.crashes
+    }
     state.quarantine.merge_peer_report(crashes)
     state.metrics.heartbeats.labels('received').inc()
     if frame.revision > state.mirror.revision:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
@@ -71,8 +71,10 @@
     for name, left_s in state.replicas.loading_s().items():
         heartbeat.loading.add(replica=name, left_s=left_s)
     crashes = list(state.quarantine.snapshot().items())
-    for digest, names in crashes[-MAX_CRASH_COUNT:]:
-        heartbeat.crashes.add(digest=digest, replicas=names)
+    for digest, ages in crashes[-MAX_CRASH_COUNT:]:
+        heartbeat.crashes.add(
+            digest=digest, replicas=ages.keys(), ages_s=ages.values()
+        )
     for peer in peers_for(state, for_leaf):
         heartbeat.peers.append(
             fleet_codec.encode_peer(peer, state.clock.monotonic())
@@ -186,7 +188,10 @@
         state.replicas.record_loading(entry.replica, entry.left_s)
     apply_peers(state, message, now)
     state.quarantine.merge_peer_report(
-        {entry.digest: list(entry.replicas) for entry in message.crashes}
+        {
+            entry.digest: dict(zip(entry.replicas, entry.ages_s, strict=False))
+            for entry in message.crashes
+        }
     )
     tallies = fleet_codec.decode_tallies(message.tallies, peer.source)
     for source, counts in tallies.items():
--- a/packages/chestnutshunt/chestnutshunt/attempts/quarantine.py
+++ b/packages/chestnutshunt/chestnutshunt/attempts/quarantine.py
@@ -21,7 +21,9 @@
 
 # Time for which a request whose crashes counted once is refused: it may be the
 # cause after all. Another crash after that counts.
-PROBATION_S = 2.0
+PROBATION_S = 5.0
+
+Crashes = dict[str, dict[str, float]]
 
 
 class Quarantine:
@@ -37,61 +39,73 @@
 
     def __init__(self, clock: clock.Clock) -> None:
         self.clock = clock
-        self.crash_times: dict[str, dict[str, float]] = {}
-        self.wave_times: dict[str, float] = {}
+        self.crash_times: Crashes = {}
         self.lock = threading.Lock()
 
-    def record_crash(self, digest: str, target: str) -> None:
+    def record_crash(
+        self, digest: str, target: str, age_s: float = 0.0
+    ) -> None:
         """Record that a target crashed while it ran the request.
 
-        A crash within `WAVE_S` of another one of the same request is no
-        evidence of its own; it only has the request refused for a while.
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        target : str
+            Target that crashed.
+        age_s : float, optional
+            Seconds since the crash.
         """
-        now = self.clock.monotonic()
+        crashed_at = self.clock.monotonic() - age_s
         with self.lock:
-            earlier = self.crash_times.get(digest, {}).values()
-            if any(now - at < WAVE_S for at in earlier):
-                self.wave_times[digest] = now
-                return
-            self.add(digest, target, now)
-
-    def add(self, digest: str, target: str, at: float) -> None:
-        """Add a crash at a monotonic time in seconds; needs the lock."""
-        times_by_target = self.crash_times.setdefault(digest, {})
-        times_by_target.setdefault(target, at)
-        while len(self.crash_times) > MAX_DIGEST_COUNT:
-            dropped = next(iter(self.crash_times))
-            del self.crash_times[dropped]
-            self.wave_times.pop(dropped, None)
+            times_by_target = self.crash_times.setdefault(digest, {})
+            times_by_target.setdefault(target, crashed_at)
+            while len(self.crash_times) > MAX_DIGEST_COUNT:
+                del self.crash_times[next(iter(self.crash_times))]
 
     def refuses(self, digest: str) -> bool:
         """Return whether the request has crashed too many targets."""
+        now = self.clock.monotonic()
         with self.lock:
             times_by_target = self.crash_times.get(digest)
             if not times_by_target:
                 return False
-            wave_at = self.wave_times.get(digest, float('-inf'))
-            if self.clock.monotonic() - wave_at < PROBATION_S:
-                return True
-            self.wave_times.pop(digest, None)
-            oldest = self.clock.monotonic() - ENTRY_LIFETIME_S
-            if max(times_by_target.values()) < oldest:
+            latest = max(times_by_target.values())
+            if latest < now - ENTRY_LIFETIME_S:
                 del self.crash_times[digest]
                 return False
-            return len(times_by_target) >= REFUSAL_CRASH_COUNT
+            if count_waves(times_by_target) >= REFUSAL_CRASH_COUNT:
+                return True
+            return (
+                len(times_by_target) >= REFUSAL_CRASH_COUNT
+                and now - latest < PROBATION_S
+            )
 
-    def snapshot(self) -> dict[str, list[str]]:
-        """Return the crashed targets by request digest, for heartbeats."""
+    def snapshot(self) -> Crashes:
+        """Return the seconds since each crash by request digest and target."""
+        now = self.clock.monotonic()
         with self.lock:
             return {
-                digest: sorted(times_by_target)
+                digest: {
+                    target: now - at
+                    for target, at in sorted(times_by_target.items())
+                }
                 for digest, times_by_target in self.crash_times.items()
             }
 
-    def merge_peer_report(self, reported: dict[str, list[str]]) -> None:
-        """Merge the crashes that a peer counts."""
-        now = self.clock.monotonic()
-        with self.lock:
-            for digest, targets in reported.items():
-                for target in targets:
-                    self.add(digest, target, now)
+    def merge_peer_report(self, reported: Crashes) -> None:
+        """Merge the crashes in a snapshot of a peer."""
+        for digest, ages_by_target in reported.items():
+            for target, age_s in ages_by_target.items():
+                self.record_crash(digest, target, age_s)
+
+
+def count_waves(times_by_target: dict[str, float]) -> int:
+    """Return the number of crashes that count; see `WAVE_S`."""
+    count = 0
+    began_at = float('-inf')
+    for at in sorted(times_by_target.values()):
+        if at - began_at >= WAVE_S:
+            count += 1
+            began_at = at
+    return count
