--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
@@ -1,8 +1,10 @@
 """Holds the lease of the duties that one daemon at a time carries out."""
 
 import logging
+import threading
 
 from chestnutshunt.lease import lease
+from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
 from chestnutshunt_daemon.fleet import fleet_state
 
@@ -26,9 +28,17 @@
 # Time between two checks of the lease.
 PERIOD_S = 0.15
 
+# The same for a leaf, which never holds it.
+LEAF_PERIOD_S = 1.0
+
 # Time between two attempts to acquire a lease that no live peer holds.
 ACQUIRE_PERIOD_S = 0.3
 
+# Hubs that try to acquire it at first, and the time without a holder after
+# which every hub does.
+CANDIDATE_COUNT = 2
+CANDIDATE_S = 4.0
+
 
 class DutyHolder:
     """Acquires and renews the lease of the duties.
@@ -44,6 +54,11 @@
         Shared state of the daemon.
     store : ObjectStore
         Store that keeps the lease.
+
+    Attributes
+    ----------
+    held_event : Event
+        Set while this daemon holds the lease.
     """
 
     def __init__(
@@ -59,6 +74,8 @@
             sole_process=True,
         )
         self.acquired_at = 0.0
+        self.held_event = threading.Event()
+        self.holder_heard_at = state.clock.monotonic()
         self.was_held = False
         state.is_holder = lambda: self.lease.is_held
         state.lease_version = lambda: self.lease.version
@@ -67,11 +84,13 @@
     def run(self) -> None:
         """Acquire, renew or release the lease until the daemon stops."""
         attempted_at = 0.0
-        while not self.state.stopped.wait(PERIOD_S):
+        while not self.state.stopped.wait(
+            PERIOD_S if self.state.is_hub or self.was_held else LEAF_PERIOD_S
+        ):
             now = self.state.clock.monotonic()
             if self.lease.is_held:
                 left = self.lease.valid_until - now
-                if self.state.leaving.is_set():
+                if self.state.leaving.is_set() or not self.state.is_hub:
                     self.lease.release()
                 elif left < RENEW_RATIO * self.lease.duration_s:
                     self.lease.renew_or_acquire()
@@ -81,10 +100,24 @@
             self.note_change()
 
     def is_candidate(self) -> bool:
-        """Return whether this daemon may try to acquire the lease."""
+        """Return whether this daemon may try to acquire the lease.
+
+        Only hubs hear the usage counts of the whole fleet.
+        """
         if self.state.leaving.is_set() or self.state.deployment is None:
             return False
-        return not any(peer.holder for peer in self.state.live_peers())
+        if not self.state.is_hub or not self.state.topology.members:
+            return False
+        now = self.state.clock.monotonic()
+        if any(peer.holder for peer in self.state.live_peers()):
+            self.holder_heard_at = now
+            return False
+        if now - self.holder_heard_at > CANDIDATE_S:
+            return True
+        names = [peer.name for peer in self.state.store_peers()]
+        names.append(self.state.config.name)
+        first = rendezvous.rank(LEASE_NAME, names)[:CANDIDATE_COUNT]
+        return self.state.config.name in first
 
     def note_change(self) -> None:
         """Log that the lease was acquired or lost, and tell the peers."""
@@ -93,6 +126,9 @@
         self.was_held = self.lease.is_held
         if self.was_held:
             self.acquired_at = self.state.clock.monotonic()
+            self.held_event.set()
+        else:
+            self.held_event.clear()
         LOG.info(
             'Duties taken' if self.was_held else 'Duties lost',
             extra={'fence': self.lease.fence, 'revision': self.lease.version},
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -138,6 +138,7 @@
         stack.callback(clients.close)
         pool = connection_pool.ConnectionPool(state.clock)
         stack.callback(pool.close)
+        state.replicas.has_connection = pool.has_idle
         store = relayed_store.RelayedStore(state, adapter.store, clients)
         exchanger = exchange.Exchanger(pool, adapter.target_codec, state.clock)
         rng = random.Random()
@@ -156,6 +157,7 @@
         loops: dict[str, Callable[[], None]] = {
             'mesh': mesh.run,
             'pulls': mesh.run_pulls,
+            'leaf-links': mesh.leaf_links.run,
             'duties': holder.run,
             'dispatch': runner.dispatch,
             'jobs': runner.review,
@@ -202,7 +204,7 @@
             caller_server.caller_server(
                 config.caller_address,
                 front.handle,
-                config.threads,
+                config.caller_threads,
                 state.clock,
             )
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -11,15 +11,19 @@
 from chestnutshunt.deployment import deployment
 from chestnutshunt.jobs import job_codec
 from chestnutshunt import median_time
+from chestnutshunt.membership import fleet_member
+from chestnutshunt.membership import topology
 from chestnutshunt.replicas import place
 from chestnutshunt.replicas import replica_view
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import kind_mirror
 from chestnutshunt import system_clock
 from chestnutshunt.usage import window_counts
+from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.fleet import fleet_metrics
 from chestnutshunt_daemon.fleet import fleet_settings
 from chestnutshunt_daemon.fleet import store_schema
+from chestnutshunt_daemon.fleet import topology_view
 from chestnutshunt_daemon.peers import peer_info
 
 __all__ = ['DAEMON_KIND', 'FleetState']
@@ -32,9 +36,15 @@
 # Time between heartbeats to one peer, without the addition for each peer.
 HEARTBEAT_S = 0.4
 
-# Added for each peer, to limit the heartbeat traffic of a large mesh.
+# Added for each hub, to limit the heartbeat traffic of a large mesh.
 HEARTBEAT_PER_PEER_S = 0.01
 
+# Hubs to which a leaf sends its heartbeats in turn.
+MIN_LINK_COUNT = topology.MIN_HUB_COUNT
+
+# Time between heartbeats of a leaf.
+LEAF_HEARTBEAT_S = 0.5
+
 # A peer counts as lost after this many heartbeat periods of silence.
 LIVE_HEARTBEAT_COUNT = 2.5
 
@@ -83,6 +93,16 @@
         self.mirrors = {
             kind: kind_mirror.KindMirror(kind, self.clock) for kind in kinds
         }
+        self.topology = topology_view.TopologyView(
+            fleet_member.FleetMember(
+                config.name,
+                config.peer_address,
+                config.datacentre,
+                config.capacity,
+            ),
+            self.mirrors[DAEMON_KIND],
+            self.clock,
+        )
         self.place = place.Place(config.datacentre, config.regions)
         self.replicas = replica_view.ReplicaView(
             self.mirrors[schema.replica_kind],
@@ -97,12 +117,16 @@
         self.metrics = fleet_metrics.FleetMetrics()
         self.deployment: deployment.Deployment | None = None
         self.peers: dict[str, peer_info.PeerInfo] = {}
+        self.leaves_by_hub: dict[str, tuple[float, frozenset[str]]] = {}
         self.store_read_s = -1.0
         self.store_reachable = True
         self.store_read_at = self.started_at
         self.is_holder: Callable[[], bool] = lambda: False
         self.lease_version: Callable[[], int] = lambda: 0
         self.note_lease: Callable[[int], None] = lambda version: None
+        self.own_demands: Callable[[], dict[str, model_demand.ModelDemand]] = (
+            dict
+        )
         self.running_job_ids: Callable[[], list[str]] = list
         self.leaving = threading.Event()
         self.stopped = threading.Event()
@@ -157,28 +181,70 @@
         if workspace and number:
             self.counts.add(workspace, self.time.now(), number)
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this daemon is linked to all hubs; see `topology`."""
+        return self.topology.current.is_hub
+
     def heartbeat_s(self) -> float:
-        """Return the current time between two heartbeats to one peer."""
-        return HEARTBEAT_S + HEARTBEAT_PER_PEER_S * len(self.peers)
+        """Return the current time between two heartbeats to one hub."""
+        hubs = sum(peer.hub for peer in list(self.peers.values()))
+        return HEARTBEAT_S + HEARTBEAT_PER_PEER_S * hubs
 
     def live_peers(self) -> list[peer_info.PeerInfo]:
-        """Return the peers whose last heartbeat is recent."""
-        live_s = LIVE_HEARTBEAT_COUNT * self.heartbeat_s()
-        oldest_at = self.clock.monotonic() - live_s
+        """Return the peers whose last heartbeat is recent.
+
+        Those of a leaf are its hubs and the hubs that these have heard.
+        """
+        now = self.clock.monotonic()
+        leaf_live_s = LIVE_HEARTBEAT_COUNT * MIN_LINK_COUNT * LEAF_HEARTBEAT_S
+        hub_live_s = LIVE_HEARTBEAT_COUNT * self.heartbeat_s()
+        if not self.is_hub:
+            hub_live_s += leaf_live_s
         return [
             peer
             for peer in list(self.peers.values())
-            if peer.heard_at >= oldest_at
+            if now - peer.heard_at <= (hub_live_s if peer.hub else leaf_live_s)
         ]
 
-    def store_peers(self) -> list[peer_info.PeerInfo]:
-        """Return the live peers that reach the store and are not leaving."""
+    def live_hubs(self) -> list[peer_info.PeerInfo]:
+        """Return the live peers that are hubs."""
+        return [peer for peer in self.live_peers() if peer.hub]
+
+    def live_leaves(self) -> list[peer_info.PeerInfo]:
+        """Return the live leaves that this daemon has heard itself."""
         return [
             peer
             for peer in self.live_peers()
+            if not peer.hub and not peer.relayed
+        ]
+
+    def store_peers(self) -> list[peer_info.PeerInfo]:
+        """Return the live hubs that reach the store and are not leaving."""
+        return [
+            peer
+            for peer in self.live_hubs()
             if peer.store_read_s >= 0 and not peer.leaving
         ]
 
+    def demands(self) -> dict[str, model_demand.ModelDemand]:
+        """Return the demand for each model over all live daemons."""
+        summed = dict(self.own_demands())
+        for peer in self.live_peers():
+            for model, demand in peer.demands.items():
+                own = summed.get(model, model_demand.ModelDemand())
+                summed[model] = own.plus(demand)
+        return summed
+
+    def plan_links(self) -> topology.Topology:
+        """Return the links that this daemon should have now."""
+        leaving = {
+            peer.name for peer in list(self.peers.values()) if peer.leaving
+        }
+        if self.leaving.is_set():
+            leaving.add(self.config.name)
+        return self.topology.refresh(frozenset(leaving))
+
     def note_store_read(self, seconds: float, error: str = '') -> None:
         """Record a read of the store; log when the store is lost or regained.
 
@@ -207,17 +273,20 @@
             )
 
     def all_peers_live(self) -> bool:
-        """Return whether every other registered daemon is live."""
-        names = {item.name for item in self.mirrors[DAEMON_KIND].values()}
-        names.discard(self.config.name)
+        """Return whether every daemon that may run jobs is live.
+
+        These are all daemons in a full mesh, else the hubs.
+        """
+        current = self.topology.current
+        names = set(current.hubs) | set(current.unusable)
         return names <= {peer.name for peer in self.live_peers()}
 
     def reader_rank(self, kind: str) -> int:
-        """Return the rank of this daemon among the readers of a kind.
+        """Return the rank of this hub among the readers of a kind.
 
-        The daemon of rank 0 reads first. Daemons near the store come before
-        the others, since traffic between regions is charged; within each
-        group the order is that of a rendezvous hash of kind and name.
+        The hub of rank 0 reads first. Hubs near the store come before the
+        others, since traffic between regions is charged; within each group
+        the order is that of a rendezvous hash of kind and name.
         """
         candidates = [
             (peer.store_read_s > NEAR_STORE_S, peer.name)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -7,11 +7,13 @@
 from chestnutshunt.deployment import deployment
 from chestnutshunt.deployment import route
 from chestnutshunt import errors
+from chestnutshunt.jobs import event
 from chestnutshunt.jobs import event_reader
 from chestnutshunt.jobs import item_state
 from chestnutshunt.jobs import result
 from chestnutshunt.jobs import score_call
 from chestnutshunt.replicas import replica
+from chestnutshunt.replicas import replica_view
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import job_run
 from chestnutshunt_daemon import target_error
@@ -32,6 +34,12 @@
 # at the same time.
 EVENT_TIMEOUT_S = 1.3
 
+# Events that are read from a slow target before an item is moved from there.
+MIN_SLOW_EVENT_COUNT = 6
+
+# Moves of one item: each makes a target read its text again.
+MAX_MOVE_COUNT = 3
+
 # Longest time of one attempt to run an item.
 ATTEMPT_TIMEOUT_S = 60.0
 
@@ -48,6 +56,10 @@
 UNPROCESSABLE_STATUS = 422
 
 
+class SlowTarget(Exception):
+    """The item is to go on at another target, which is faster."""
+
+
 class ItemRunner:
     """Runs items; called from the threads of a pool.
 
@@ -156,6 +168,10 @@
             entry.text_complete = True
             self.state.replicas.state(target).breaker.record_success()
             return True
+        except SlowTarget as exc:
+            entry.moves += 1
+            outcome = str(exc)
+            return False
         except (target_error.TargetError, ValueError) as exc:
             if run.ended.is_set():
                 outcome = 'stopped, its job was ended'
@@ -236,37 +252,88 @@
         """Read the events of a response to its end; raises `ValueError`."""
         reader = event_reader.EventReader()
         version = response.head.version
-        codec = self.exchanger.codec
         last_event_at = self.state.clock.monotonic()
+        event_count = 0
         for data in response.chunks():
             now = self.state.clock.monotonic()
             events = list(reader.feed(data))
-            for event in events:
-                for line in event.other_lines:
-                    version = codec.decode_event_version(line) or version
-                if entry.last_event is not None and (
-                    event.id <= entry.last_event
-                ):
-                    raise ValueError(f'Event {event.id} was repeated.')
-                if route.single_version and entry.versions not in (
-                    [],
-                    [version],
-                ):
-                    entry.reset()
-                    raise ValueError(
-                        'The weight version changed within the text.'
-                    )
-                entry.add_event(event.id, event.data, version)
+            for item_event in events:
+                version = self.add_event(entry, route, item_event, version)
             if events:
                 self.state.replicas.record_event_interval(
                     target, (now - last_event_at) / len(events)
                 )
                 last_event_at = now
+                event_count += len(events)
+                if event_count >= MIN_SLOW_EVENT_COUNT:
+                    self.check_speed(run, entry, route, target)
+            elif now - last_event_at > EVENT_TIMEOUT_S:
+                raise ValueError(f'No event for {now - last_event_at:.1f} s.')
         if reader.buffer.strip():
             raise ValueError('The stream ends inside an event.')
         if entry.last_event is None:
             raise ValueError('The stream has no events.')
 
+    def add_event(
+        self,
+        entry: item_state.ItemState,
+        route: route.Route,
+        item_event: event.Event,
+        version: int | None,
+    ) -> int | None:
+        """Add an event to an item's text; raises `ValueError`.
+
+        Returns
+        -------
+        int or None
+            Weight version that generated the event, if known.
+        """
+        for line in item_event.other_lines:
+            named = self.exchanger.codec.decode_event_version(line)
+            version = named or version
+        if entry.last_event is not None and (
+            item_event.id <= entry.last_event
+        ):
+            raise ValueError(f'Event {item_event.id} was repeated.')
+        if route.single_version and entry.versions not in ([], [version]):
+            entry.reset()
+            raise ValueError('The weight version changed within the text.')
+        entry.add_event(item_event.id, item_event.data, version)
+        return version
+
+    def check_speed(
+        self,
+        run: job_run.JobRun,
+        entry: item_state.ItemState,
+        route: route.Route,
+        target: replica.Replica,
+    ) -> None:
+        """Raise `SlowTarget` if another target would go on much faster.
+
+        A step lasts as long as its slowest item, so one slow target delays
+        all of it.
+        """
+        view = self.state.replicas
+        ratio = view.relative_interval(target)
+        if ratio < replica_view.SLOW_RATIO or entry.moves >= MAX_MOVE_COUNT:
+            return
+        other = view.choose_engine(
+            target.service,
+            run.job.model,
+            run.job.minimum_version,
+            exact=entry.versions[0] if route.single_version else None,
+            avoided=target.id,
+        )
+        if (
+            other is not None
+            and other.id != target.id
+            and view.relative_interval(other) < replica_view.SLOW_RATIO
+        ):
+            entry.avoided_target = target.id
+            raise SlowTarget(
+                f'Its events take {ratio:.1f} times as long as usual.'
+            )
+
     def record_failure(
         self,
         entry: item_state.ItemState,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -1,5 +1,6 @@
 """Runs the jobs that this daemon was given or has taken over."""
 
+from collections.abc import Callable
 from concurrent import futures
 import logging
 import threading
@@ -16,6 +17,7 @@
 from chestnutshunt.replicas import replica
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
+from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import item_runner
 from chestnutshunt_daemon.jobs import job_run
@@ -27,8 +29,18 @@
 
 DISPATCH_INTERVAL_S = 0.03
 
+# Longest time between two checks of whether an idle daemon has been stopped.
+MAX_IDLE_S = 0.5
+
 REVIEW_INTERVAL_S = 0.4
 
+# Weight of the present number of items in its moving average, which then spans
+# about two steps.
+DEMAND_WEIGHT_RATIO = 0.04
+
+# A model with fewer items on average has no demand any more.
+MIN_DEMAND_ITEMS = 0.05
+
 # A job is taken over when no live daemon has run it for this long: one
 # heartbeat more than a peer counts as live without one.
 ORPHAN_TIMEOUT_S = 1.3
@@ -77,7 +89,10 @@
         self.readable_runs: dict[str, job_run.JobRun] = {}
         self.pool = futures.ThreadPoolExecutor(MAX_RUNNING_ITEMS_COUNT, 'item')
         self.lock = threading.Lock()
+        self.added = threading.Event()
         state.running_job_ids = self.job_ids
+        self.mean_items: dict[str, float] = {}
+        state.own_demands = self.demands
 
     def make_run(self, job: job.Job) -> job_run.JobRun:
         """Return the state of a job, to be run or read here."""
@@ -87,6 +102,48 @@
         """Return the ids of the jobs that run here."""
         return list(self.runs)
 
+    def demands(self) -> dict[str, model_demand.ModelDemand]:
+        """Return the demand of the jobs that run here, by model."""
+        waiting = self.count_items(lambda entry: not entry.running)
+        needed: dict[str, int] = {}
+        for run in list(self.runs.values()):
+            if run.startable_items():
+                model = run.job.model
+                needed[model] = max(
+                    run.job.minimum_version, needed.get(model, 0)
+                )
+        return {
+            model: model_demand.ModelDemand(
+                items, waiting.get(model, 0), needed.get(model, 0)
+            )
+            for model, items in list(self.mean_items.items())
+        }
+
+    def count_items(
+        self, is_counted: Callable[[item_state.ItemState], bool]
+    ) -> dict[str, int]:
+        """Return the number of unfinished items that count, by model."""
+        counts: dict[str, int] = {}
+        for run in list(self.runs.values()):
+            if run.job.model and not run.ended.is_set():
+                counts[run.job.model] = counts.get(run.job.model, 0) + sum(
+                    not entry.finished
+                    and not entry.text_complete
+                    and is_counted(entry)
+                    for entry in run.order
+                )
+        return counts
+
+    def update_demand(self) -> None:
+        """Add the present number of items to the moving averages."""
+        counts = self.count_items(lambda entry: True)
+        for model in counts.keys() | self.mean_items.keys():
+            mean = self.mean_items.get(model, 0.0)
+            mean += DEMAND_WEIGHT_RATIO * (counts.get(model, 0) - mean)
+            self.mean_items[model] = mean
+            if mean < MIN_DEMAND_ITEMS:
+                del self.mean_items[model]
+
     def add(self, job: job.Job) -> job_run.JobRun:
         """Run an accepted job; return its run if there is one already."""
         with self.lock:
@@ -96,6 +153,7 @@
             self.carry_over_texts(run)
             self.runs[job.id] = run
         run.start()
+        self.added.set()
         self.state.wake_peers()
         return run
 
@@ -133,6 +191,9 @@
     def dispatch(self) -> None:
         """Start items, oldest job first, until the daemon stops."""
         while not self.state.stopped.wait(DISPATCH_INTERVAL_S):
+            if not self.runs:
+                self.added.wait(MAX_IDLE_S)
+                self.added.clear()
             for run in sorted(
                 list(self.runs.values()),
                 key=lambda run: (run.job.submitted_at, run.job.id),
@@ -199,6 +260,7 @@
             run.job.minimum_version,
             run.group_targets.get(entry.item.prompt_group, ()),
             exact_version,
+            entry.avoided_target,
         )
 
     def is_loaded(self, service: str, model: str, version: int) -> bool:
@@ -228,6 +290,7 @@
     def review_once(self) -> None:
         """Drop old ended jobs and take over orphaned ones."""
         now = self.state.clock.monotonic()
+        self.update_demand()
         ended = list(self.ended_at.items())
         for number, (job_id, at) in enumerate(ended):
             too_many = number < len(ended) - MAX_ENDED_JOBS_COUNT
@@ -260,6 +323,8 @@
         """Return whether this daemon ranks first for taking over a job."""
         if self.state.leaving.is_set() or self.state.deployment is None:
             return False
+        if not self.state.is_hub:
+            return False
         names = [peer.name for peer in self.state.store_peers()]
         names.append(self.state.config.name)
         return rendezvous.rank(job_id, names)[0] == self.state.config.name
@@ -276,6 +341,7 @@
                         return
                     self.runs[run.job.id] = run
                 run.start()
+                self.added.set()
                 self.state.wake_peers()
                 LOG.info(
                     'Job taken over',
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/peer_info.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/peer_info.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from chestnutshunt.weights import model_demand
+
 __all__ = ['PeerInfo']
 
 
@@ -24,7 +26,14 @@
     store_read_s : float
         Seconds that its last read of the store took; negative if it failed.
     heard_at : float
-        Monotonic time in seconds at which the heartbeat arrived.
+        Monotonic time in seconds at which the heartbeat arrived, here or at
+        the hub that passed its content on.
+    hub : bool
+        Whether it counts itself as a hub.
+    relayed : bool
+        Whether a hub passed this on; the daemon itself was not heard.
+    demands : dict of str to ModelDemand
+        Demand of the jobs that it runs, by model.
     """
 
     name: str
@@ -36,3 +45,11 @@
     jobs: frozenset[str]
     store_read_s: float
     heard_at: float
+    hub: bool = True
+    relayed: bool = False
+    demands: dict[str, model_demand.ModelDemand] = attrs.field(factory=dict)
+
+    @property
+    def source(self) -> str:
+        """Name and incarnation, under which its usage counts are kept."""
+        return f'{self.name}/{self.incarnation}'
