Take jobs over at the runner of their service

A takeover now follows the order in which new jobs are placed.

The links of a daemon are planned again whenever the registrations have changed: the comparison went by the identity of a dict, which a later dict can have again.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/topology_view.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/topology_view.py
@@ -55,6 +55,7 @@
         self.unreachable: set[str] = set()
         self.changed_at = clock.monotonic()
         self.called_at: dict[str, float] = {}
+        self.change_count = 0
         self.planned_for: tuple = ()
         self.current = topology.Topology(True, {}, {}, True)
         mirror.listeners.append(self.read_members)
@@ -73,6 +74,7 @@
                 continue
             members[member.name] = member
         self.members = members
+        self.change_count += 1
         self.changed_at = self.clock.monotonic()
 
     def refresh(self, leaving: frozenset[str]) -> topology.Topology:
@@ -83,12 +85,12 @@
         leaving : frozenset of str
             Names of the daemons that are shutting down.
         """
-        members = self.members
         unusable = leaving | self.unreachable
-        inputs = (id(members), unusable)
+        inputs = (self.change_count, unusable)
         if inputs == self.planned_for:
             return self.current
         self.planned_for = inputs
+        members = self.members
         before = self.current
         self.current = topology.plan_topology(
             members.values(), self.own, lambda name: name not in unusable
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
@@ -13,7 +13,6 @@
 from chestnutshunt.jobs import job_codec
 from chestnutshunt.jobs import job_page
 from chestnutshunt.jobs import result
-from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
 from chestnutshunt.store import stored_object
 from chestnutshunt_daemon.fleet import fleet_state
@@ -37,9 +36,6 @@
 # Peers that are asked to run a job.
 MAX_HAND_OVER_COUNT = 2
 
-# Running items that a daemon with one core can serve.
-SLOTS_PER_CORE = 100
-
 # Largest items of a job in one message; below the limit of 4 MiB for messages
 # between daemons.
 MAX_HAND_OVER_BYTES = 3_000_000
@@ -121,46 +117,13 @@
         workspace and model run together. If the daemon does not answer, the
         next one is asked; if none does, the job runs here.
         """
-        for peer in self.preferred_peers(job)[:MAX_HAND_OVER_COUNT]:
+        for peer in self.runner.preferred_peers(job)[:MAX_HAND_OVER_COUNT]:
             if peer is None:
                 break
             if self.hand_over(peer, job):
                 return
         self.runner.add(job)
 
-    def preferred_peers(self, job: job.Job) -> list[peer_info.PeerInfo | None]:
-        """Return the peers that should run a job in order of preference.
-
-        ``None`` stands for this daemon. Those near the store come first, as
-        results are written there.
-        """
-        state = self.state
-        hubs: dict[str, tuple[float, peer_info.PeerInfo | None]] = {
-            peer.name: (peer.store_read_s, peer)
-            for peer in state.store_peers()
-        }
-        if state.is_hub and state.store_read_s >= 0:
-            hubs[state.config.name] = (state.store_read_s, None)
-        service = self.service_of(job)
-        order = rendezvous.rank(service, hubs)
-        if order and not self.can_serve(order[0], service):
-            order = rendezvous.rank(f'{job.workspace}/{job.model}', hubs)
-        order.sort(key=lambda name: hubs[name][0] > fleet_state.NEAR_STORE_S)
-        return [hubs[name][1] for name in order]
-
-    def can_serve(self, name: str, service: str) -> bool:
-        """Return whether a daemon's VM can serve all slots of a service."""
-        view = self.state.topology
-        member = view.members.get(name, view.own)
-        slots = sum(x.slots for x in self.state.replicas.serving(service))
-        return slots <= member.capacity * SLOTS_PER_CORE
-
-    def service_of(self, job: job.Job) -> str:
-        """Return the service that runs the items of a job."""
-        current = self.state.deployment
-        route = current and current.match_route(job.host, job.path)
-        return route.service_for(0.0) if route else ''
-
     def hand_over(self, peer: peer_info.PeerInfo, job: job.Job) -> bool:
         """Hand a job over to a peer; return False if it does not take it."""
         items = json.dumps(job_codec.encode_items(job.items)).encode()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -21,6 +21,7 @@
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import item_runner
 from chestnutshunt_daemon.jobs import job_run
+from chestnutshunt_daemon.peers import peer_info
 from chestnutshunt_daemon.targets import target_slot
 
 __all__ = ['JobRunner']
@@ -48,6 +49,9 @@
 # The same when heartbeats of every daemon arrive: one and a half heartbeats.
 ORPHAN_TIMEOUT_ALL_HEARD_S = 0.6
 
+# Running items that a daemon with one core can serve.
+SLOTS_PER_CORE = 100
+
 # Items that one daemon runs concurrently; each thread takes about 60 KB.
 MAX_RUNNING_ITEMS_COUNT = 160
 
@@ -316,18 +320,50 @@
                     if self.state.all_peers_live()
                     else ORPHAN_TIMEOUT_S
                 )
-                if now - since > timeout_s and self.is_successor(stored.name):
+                if now - since > timeout_s and self.is_successor(stored.value):
                     self.take_over(stored.value)
 
-    def is_successor(self, job_id: str) -> bool:
-        """Return whether this daemon ranks first for taking over a job."""
+    def preferred_peers(self, job: job.Job) -> list[peer_info.PeerInfo | None]:
+        """Return the peers that should run a job in order of preference.
+
+        ``None`` stands for this daemon. Those near the store come first, as
+        results are written there.
+        """
+        state = self.state
+        hubs: dict[str, tuple[float, peer_info.PeerInfo | None]] = {
+            peer.name: (peer.store_read_s, peer)
+            for peer in state.store_peers()
+        }
+        if state.is_hub and (state.store_read_s >= 0 or not hubs):
+            hubs[state.config.name] = (state.store_read_s, None)
+        service = self.service_of(job)
+        order = rendezvous.rank(service, hubs)
+        if order and not self.can_serve(order[0], service):
+            order = rendezvous.rank(f'{job.workspace}/{job.model}', hubs)
+        order.sort(key=lambda name: hubs[name][0] > fleet_state.NEAR_STORE_S)
+        return [hubs[name][1] for name in order]
+
+    def can_serve(self, name: str, service: str) -> bool:
+        """Return whether a daemon's VM can serve all slots of a service."""
+        view = self.state.topology
+        member = view.members.get(name, view.own)
+        slots = sum(x.slots for x in self.state.replicas.serving(service))
+        return slots <= member.capacity * SLOTS_PER_CORE
+
+    def service_of(self, job: job.Job) -> str:
+        """Return the service that runs the items of a job."""
+        current = self.state.deployment
+        route = current and current.match_route(job.host, job.path)
+        return route.service_for(0.0) if route else ''
+
+    def is_successor(self, value: dict) -> bool:
+        """Return whether this daemon is the one to take over a job."""
         if self.state.leaving.is_set() or self.state.deployment is None:
             return False
         if not self.state.is_hub:
             return False
-        names = [peer.name for peer in self.state.store_peers()]
-        names.append(self.state.config.name)
-        return rendezvous.rank(job_id, names)[0] == self.state.config.name
+        taken_over = job_codec.decode_job(value, ())
+        return self.preferred_peers(taken_over)[:1] == [None]
 
     def take_over(self, value: dict) -> None:
         """Run an orphaned job; it stays orphaned if the store fails."""
