Refuse too few threads again and restore a test to its form

Found on reading the change once more:

- The check of threads took 0 as its lower bound and so 1 to 3 as well, which were refused before; it now takes 0 or at least 4.
- test_crashing_requests_are_quarantined_on_peers had got a step of the clock that an earlier form of the quarantine needed; it is as before.
- That a resumable stream which only drips goes on elsewhere had no test; the new one fails on the code before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
@@ -77,7 +77,9 @@
     seed_addresses: list[str] = attrs.field(factory=list)
     processor_share: float = 1.0
     processor_count: float = 1.0
-    threads: int = attrs.field(default=0, validator=settings.at_least(0))
+    threads: int = attrs.field(
+        default=0, validator=settings.at_least(4, or_zero=True)
+    )
     log_level: str = attrs.field(
         default='INFO',
         validator=settings.one_of('DEBUG', 'INFO', 'WARNING', 'ERROR'),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/settings.py
@@ -31,12 +31,15 @@
         raise ValueError('Write IP:PORT, such as 127.0.0.1:7100.')
 
 
-def at_least(minimum: float) -> Any:
-    """Return a validator of a lower bound."""
+def at_least(minimum: float, or_zero: bool = False) -> Any:
+    """Return a validator of a lower bound, below which 0 may be allowed."""
 
     def check(instance: Any, attribute: attrs.Attribute, value: float) -> None:
-        if value < minimum:
-            raise ValueError(f'Write a value of at least {minimum}.')
+        if value < minimum and not (or_zero and value == 0):
+            alternative = ', or 0' if or_zero else ''
+            raise ValueError(
+                f'Write a value of at least {minimum}{alternative}.'
+            )
 
     return check
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -32,8 +32,8 @@
 # Time in which a target must accept the bytes of a request.
 SEND_TIMEOUT_S = 1.0
 
-# Time for the rest of a response head after its first bytes, and its size with
-# interim responses. What follows the head may be in the same read.
+# Time for a response head beyond the longest silence that is allowed, and its
+# size with interim responses. The first part of the body may count as well.
 HEAD_READ_S = 0.3
 MAX_HEAD_BYTES = 262_144
 
--- a/tests/peers/test_heartbeat.py
+++ b/tests/peers/test_heartbeat.py
@@ -72,6 +72,5 @@
     one, two = make_state('one', clock), make_state('two', clock)
     for target in ('t1', 't2'):
         one.quarantine.record_crash('digest', target)
-        clock.advance(1)
     send_heartbeat(one, two)
     assert two.quarantine.refuses('digest')
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -13,6 +13,7 @@
 from chestnutshunt_daemon.targets import target_request
 from tests import fake_target
 from tests import fleet_parts
+from tests.targets import test_endless_answers
 
 
 def make_route(resumable):
@@ -132,3 +133,17 @@
         assert b''.join(
             open_stream(True, first, second).chunks
         ) == encoded_events(1)
+
+
+def test_a_resumable_stream_that_only_drips_goes_on_elsewhere(target):
+    """Progress is counted in events: a byte now and then is none."""
+    drip = test_endless_answers.flood(
+        test_endless_answers.HEAD
+        + b'Content-Type: text/event-stream\r\n\r\nid: 1\ndata: d1\n\n',
+        b':',
+        stream_forwarder.EVENT_TIMEOUT_S / 10,
+    )
+    step = first_or_rest(drip, fake_target.events(2, 3))
+    targets = [target(f't{n}', step) for n in range(2)]
+    response = open_stream(True, *targets)
+    assert b''.join(response.chunks) == encoded_events(1, 2, 3)
