Log each request to a target and the rate limits that targets name

Each request is logged before it is sent, with the target's software version and the limit known; a change of the limit is logged once. Nothing acts on either yet.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -140,7 +140,9 @@
         stack.callback(pool.close)
         state.replicas.has_connection = pool.has_idle
         store = relayed_store.RelayedStore(state, adapter.store, clients)
-        exchanger = exchange.Exchanger(pool, adapter.target_codec, state.clock)
+        exchanger = exchange.Exchanger(
+            pool, adapter.target_codec, state.clock, state.rate_limits
+        )
         rng = random.Random()
         forwards = forwarder.Forwarder(state, exchanger, rng)
         items = item_runner.ItemRunner(state, exchanger, forwards, rng)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -13,6 +13,7 @@
 from chestnutshunt import median_time
 from chestnutshunt.membership import fleet_member
 from chestnutshunt.membership import topology
+from chestnutshunt.ratelimit import limit_table
 from chestnutshunt.replicas import place
 from chestnutshunt.replicas import replica_view
 from chestnutshunt.routing import rendezvous
@@ -114,6 +115,7 @@
         self.time = median_time.MedianTime(self.clock)
         self.counts = window_counts.WindowCounts(config.usage_window_s)
         self.quarantine = quarantine.Quarantine(self.clock)
+        self.rate_limits = limit_table.LimitTable(self.clock)
         self.metrics = fleet_metrics.FleetMetrics()
         self.deployment: deployment.Deployment | None = None
         self.peers: dict[str, peer_info.PeerInfo] = {}
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
+import logging
 import select
 
 import urllib3
@@ -10,6 +11,7 @@
 
 from chestnutshunt.attempts import progress
 from chestnutshunt import clock
+from chestnutshunt.ratelimit import limit_table
 from chestnutshunt.replicas import replica
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import headers
@@ -25,6 +27,8 @@
 
 __all__ = ['Exchanger', 'wait_any']
 
+LOG = logging.getLogger(__name__)
+
 # A new connection opens within a few milliseconds inside a region and within
 # 30 ms between regions.
 CONNECT_TIMEOUT_S = 0.4
@@ -56,6 +60,8 @@
         Encodes request headers and decodes response heads.
     clock : Clock
         Clock of deadlines.
+    limits : LimitTable
+        Records the rate limits that targets name.
     """
 
     def __init__(
@@ -63,10 +69,12 @@
         pool: connection_pool.ConnectionPool,
         codec: target_codec.TargetCodec,
         clock: clock.Clock,
+        limits: limit_table.LimitTable,
     ) -> None:
         self.pool = pool
         self.codec = codec
         self.clock = clock
+        self.limits = limits
 
     @contextlib.contextmanager
     def exchange(
@@ -183,6 +191,17 @@
             request.workspace,
             resume_after,
         )
+        pending.sent_at = self.clock.monotonic()
+        LOG.info(
+            'Sending request',
+            extra={
+                'request': request.id,
+                'target': pending.replica.id,
+                'software': pending.replica.software,
+                'after': resume_after,
+                'rate_limit': self.limits.rate(pending.replica),
+            },
+        )
         pending.connection.timeout = SEND_TIMEOUT_S
         pending.connection.sock.settimeout(SEND_TIMEOUT_S)
         with target_call.translate_head_errors(
@@ -248,6 +267,7 @@
                 progress.Progress.MAY_HAVE_RUN,
                 stale=pending.reused,
             )
+        self.limits.observe(pending.replica, head.rate_limit, pending.sent_at)
         forwarded = [
             (key, value)
             for key, value in response.headers.items()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/open_exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/open_exchange.py
@@ -33,6 +33,8 @@
         Holds the connection until the exchange is finished.
     response : TargetResponse or None
         The response once its head was read.
+    sent_at : float
+        Monotonic time in seconds at which the request was sent.
     """
 
     replica: replica.Replica
@@ -42,3 +44,4 @@
     reused: bool
     cancel_token: cancel_token.CancelToken
     response: target_response.TargetResponse | None = None
+    sent_at: float = 0.0
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/response_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/response_head.py
@@ -25,6 +25,9 @@
         Weight version that generates the response.
     idle_s : float or None
         Seconds for which the target keeps an idle connection open.
+    rate_limit : float or None
+        Requests a second that the target takes from all daemons together;
+        ``None`` if it names no limit.
     """
 
     status: int
@@ -35,3 +38,4 @@
     waiting: int | None = None
     version: int | None = None
     idle_s: float | None = None
+    rate_limit: float | None = None
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/ratelimit/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the rate of requests that targets ask for."""
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/ratelimit/limit_table.py
@@ -0,0 +1,74 @@
+"""Rate limits that targets have asked for, as far as a daemon knows."""
+
+import logging
+import threading
+
+from chestnutshunt import clock
+from chestnutshunt.ratelimit import rate_limit
+from chestnutshunt.replicas import replica
+
+__all__ = ['LimitTable']
+
+LOG = logging.getLogger(__name__)
+
+
+class LimitTable:
+    """Keeps the newest rate limit of each target process.
+
+    Thread-safe.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock for the age of limits.
+    """
+
+    def __init__(self, clock: clock.Clock) -> None:
+        self.clock = clock
+        self.limits: dict[str, rate_limit.RateLimit] = {}
+        self.lock = threading.Lock()
+
+    def observe(
+        self, target: replica.Replica, rate: float | None, sent_at: float
+    ) -> None:
+        """Record what a response of a target says about its limit.
+
+        Parameters
+        ----------
+        target : Replica
+            Target that responded.
+        rate : float or None
+            Requests a second that it takes, ``None`` if it names no limit.
+        sent_at : float
+            Monotonic time in seconds at which the request was sent. A
+            response to a request from before the limit does not lift it.
+        """
+        known = self.limits.get(target.start_key)
+        if rate is None and (known is None or sent_at < known.observed_at):
+            return
+        self.record(target.start_key, rate, self.clock.monotonic())
+
+    def record(
+        self, start_key: str, rate: float | None, observed_at: float
+    ) -> None:
+        """Record a limit unless a newer one is known; log a change."""
+        with self.lock:
+            known = self.limits.get(start_key)
+            if known is not None and known.observed_at >= observed_at:
+                return
+            self.limits[start_key] = rate_limit.RateLimit(rate, observed_at)
+        if known is None or known.rate != rate:
+            LOG.info(
+                'Rate limit of a target changed',
+                extra={
+                    'target': start_key,
+                    'rate': rate,
+                    'before': known.rate if known else None,
+                    'age_s': round(self.clock.monotonic() - observed_at, 3),
+                },
+            )
+
+    def rate(self, target: replica.Replica) -> float | None:
+        """Return the requests a second that a target takes, if limited."""
+        known = self.limits.get(target.start_key)
+        return known.rate if known else None
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica.py
@@ -31,6 +31,9 @@
     started_ms : int
         Start time in Unix milliseconds; distinguishes two processes with the
         same id.
+    software : str
+        Version of the program that the target runs; unrelated to the versions
+        of its weights.
     """
 
     id: str
@@ -42,6 +45,7 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     reclaimable: bool = False
     started_ms: int = 0
+    software: str = ''
 
     @property
     def start_key(self) -> str:
