Reproduce LIMIT: daemons send a target far more than the rate it names

Processes of the daemon on the stand-in platform, before scripted targets that name 2 requests a second.

--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 from chestnutshunt.replicas import replica
 
@@ -18,6 +19,7 @@
         self.name = name
         self.script = list(script)
         self.heads = []
+        self.times = []
         self.bodies = []
         self.disconnected = threading.Event()
         self.listener = socket.create_server(('127.0.0.1', 0))
@@ -55,6 +57,7 @@
                     data += connection.recv(65536)
                 self.bodies.append(data[:length])
                 data = data[length:]
+                self.times.append(time.monotonic())
                 self.heads.append((lines[0], fields))
                 step = self.script[min(len(self.heads), len(self.script)) - 1]
                 step(connection, fields)
@@ -106,7 +109,7 @@
     drop(connection, fields)
 
 
-def events(*numbers, complete=True, version=None):
+def events(*numbers, complete=True, version=None, **headers):
     """Return a step that streams events; an incomplete stream is cut."""
 
     def step(connection, fields):
@@ -118,6 +121,8 @@
         )
         if version is not None:
             head += f'X-Weight-Versions: {version}\r\n'
+        for name, value in headers.items():
+            head += f'{name.replace("_", "-")}: {value}\r\n'
         connection.sendall(head.encode() + b'\r\n')
         for number in numbers:
             data = f'id: {number}\ndata: d{number}\n\n'.encode()
--- a/tests/faults/test_fleet.py
+++ b/tests/faults/test_fleet.py
@@ -75,9 +75,13 @@
         path.write_text(text)
         self.path = path
         self.fleet = fleet
-        os.environ['CHESTNUTSHUNT_BOOT'] = str(path)
+        self.restart()
+
+    def restart(self):
+        os.environ['CHESTNUTSHUNT_BOOT'] = str(self.path)
         super().__init__(
-            ['chestnutshunt_platform.main'], fleet.folder / f'{name}.log'
+            ['chestnutshunt_platform.main'],
+            self.fleet.folder / f'{self.name}.log',
         )
 
     def ready(self):
