Keep to the rate that a target names, over all daemons together

Callers saw nothing; overloaded targets got up to 53 requests in 4 s where they had allowed 22 (LIMIT).

Cause: no part of the daemon read the limit; targets were chosen by slots and load alone. Class of fault: a budget of the whole fleet that no one keeps.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -34,6 +34,8 @@
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.peers import fleet_mesh
 from chestnutshunt_daemon.peers import fleet_service
+from chestnutshunt_daemon.peers import permit_client
+from chestnutshunt_daemon.peers import permit_desk
 from chestnutshunt_daemon.peers import relayed_store
 from chestnutshunt_daemon import supervised_thread
 from chestnutshunt_daemon.targets import exchange
@@ -141,7 +143,7 @@
         state.replicas.has_connection = pool.has_idle
         store = relayed_store.RelayedStore(state, adapter.store, clients)
         exchanger = exchange.Exchanger(
-            pool, adapter.target_codec, state.clock, state.rate_limits
+            pool, adapter.target_codec, state.clock, state.rate_gate
         )
         rng = random.Random()
         forwards = forwarder.Forwarder(state, exchanger, rng)
@@ -152,7 +154,10 @@
         watch = caller_watch.CallerWatch()
         watch.start()
         stack.callback(watch.stop)
-        service = fleet_service.FleetService(state, adapter.store, runner)
+        desk = permit_desk.PermitDesk(state, clients)
+        service = fleet_service.FleetService(
+            state, adapter.store, runner, desk
+        )
         stack.enter_context(
             fleet_service.fleet_server(service, config.peer_address)
         )
@@ -160,6 +165,7 @@
             'mesh': mesh.run,
             'pulls': mesh.run_pulls,
             'leaf-links': mesh.leaf_links.run,
+            'permits': permit_client.PermitClient(state, clients, desk).run,
             'duties': holder.run,
             'dispatch': runner.dispatch,
             'jobs': runner.review,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
@@ -63,6 +63,8 @@
                 'slots': target.slots,
                 'sound': state.replicas.is_healthy(target),
                 'versions': state.replicas.state(target).versions,
+                'software': target.software,
+                'rate_limit': state.rate_gate.limits.rate(target),
             }
             for target in sorted(state.replicas.list_all(), key=lambda x: x.id)
         ],
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_metrics.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_metrics.py
@@ -44,6 +44,9 @@
         self.loads = self.counter(
             'weight_loads', 'Orders to load weights.', ['outcome']
         )
+        self.permits = self.counter(
+            'permits', 'Permits for rate-limited targets.', ['outcome']
+        )
         self.dropped_lines = self.counter(
             'log_lines_dropped', 'Log lines dropped to stay bounded.', []
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -13,7 +13,8 @@
 from chestnutshunt import median_time
 from chestnutshunt.membership import fleet_member
 from chestnutshunt.membership import topology
-from chestnutshunt.ratelimit import limit_table
+from chestnutshunt.ratelimit import permit_issuer
+from chestnutshunt.ratelimit import rate_gate
 from chestnutshunt.replicas import place
 from chestnutshunt.replicas import replica_view
 from chestnutshunt.routing import rendezvous
@@ -112,10 +113,11 @@
             self.clock,
             random.Random(),
         )
+        self.rate_gate = rate_gate.RateGate(self.clock)
+        self.replicas.may_send = self.rate_gate.allows
         self.time = median_time.MedianTime(self.clock)
         self.counts = window_counts.WindowCounts(config.usage_window_s)
         self.quarantine = quarantine.Quarantine(self.clock)
-        self.rate_limits = limit_table.LimitTable(self.clock)
         self.metrics = fleet_metrics.FleetMetrics()
         self.deployment: deployment.Deployment | None = None
         self.peers: dict[str, peer_info.PeerInfo] = {}
@@ -283,6 +285,32 @@
         names = set(current.hubs) | set(current.unusable)
         return names <= {peer.name for peer in self.live_peers()}
 
+    def permit_delay_s(self, service: str) -> float:
+        """Return the mean seconds until targets take one more request.
+
+        0 unless all targets of the service limit the rate of requests.
+        """
+        rates = [
+            self.rate_gate.limits.rate(target)
+            for target in self.replicas.serving(service)
+        ]
+        if not rates or None in rates:
+            return 0.0
+        return 1.0 / max(sum(rates), permit_issuer.MIN_RATE)
+
+    def hub_share(self) -> float:
+        """Return the part of all hubs that is live, this daemon included.
+
+        Parts of a divided fleet that hear only themselves add up to one. 0
+        while this daemon knows no registration, and for a leaf.
+        """
+        if not self.is_hub or not self.topology.members:
+            return 0.0
+        current = self.topology.current
+        names = set(current.hubs) | set(current.unusable)
+        live = names & {peer.name for peer in self.live_hubs()}
+        return (1 + len(live)) / (1 + len(names))
+
     def reader_rank(self, kind: str) -> int:
         """Return the rank of this hub among the readers of a kind.
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
@@ -172,6 +172,7 @@
             fence=fence,
             accepted_before=progress.accepted_orders,
         )
+        self.state.rate_gate.spend(target)
         outcome = self.loader.load(target, order)
         self.record_outcome(load, progress, order, outcome)
 
@@ -227,6 +228,7 @@
         progress: load_order_state.LoadOrderState,
     ) -> bool:
         """Read a target's report; return whether the target can load."""
+        self.state.rate_gate.spend(target)
         match self.loader.report(target):
             case result.Success(report):
                 for model, version in report.versions.items():
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -345,8 +345,10 @@
         The next one resumes after the last event that was read.
         """
         entry.not_before = self.state.clock.monotonic() + BUSY_RETRY_S
-        stale = isinstance(exc, target_error.TargetError) and exc.stale
-        if not stale:
+        is_target_fault = not isinstance(
+            exc, target_error.TargetError
+        ) or not (exc.stale or exc.rate_limited)
+        if is_target_fault:
             self.state.replicas.state(target).breaker.record_failure()
             self.state.replicas.record_rejection(target)
         sent = (
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -220,8 +220,9 @@
                     run, entry, 'its item lifetime has expired'
                 )
             return
-        for entry in startable:
+        for index, entry in enumerate(startable):
             if not self.start_item(run, entry, route):
+                self.want_permits(run, route, len(startable) - index)
                 break
 
     def start_item(
@@ -244,6 +245,36 @@
         self.pool.submit(self.item_runner.run, run, entry, route, slot)
         return True
 
+    def want_permits(
+        self, run: job_run.JobRun, route: route.Route, count: int
+    ) -> None:
+        """Ask for permits to start items at targets that limit their rate.
+
+        Parameters
+        ----------
+        run : JobRun
+            Job whose items wait.
+        route : Route
+            Route of the job.
+        count : int
+            Number of items that wait.
+        """
+        view = self.state.replicas
+        gate = self.state.rate_gate
+        limited = [
+            target
+            for target in view.free_engines(
+                route.service_for(0.0), run.job.model, run.job.minimum_version
+            )
+            if gate.is_limited(target)
+        ]
+        for target in sorted(limited, key=view.cost):
+            wanted = min(count, target.slots - view.load(target))
+            if wanted <= 0:
+                break
+            gate.want(target, run.job.id, wanted)
+            count -= wanted
+
     def choose_target(
         self,
         run: job_run.JobRun,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_codec.py
@@ -3,6 +3,8 @@
 import json
 from typing import Any
 
+from chestnutshunt.ratelimit import permit_grant
+from chestnutshunt.ratelimit import permit_want
 from chestnutshunt.store import kind_mirror
 from chestnutshunt.store import stored_object
 from chestnutshunt.weights import model_demand
@@ -13,14 +15,20 @@
     'decode_changes',
     'decode_demand',
     'decode_digest',
+    'decode_grant',
     'decode_objects',
     'decode_peer',
+    'decode_rate',
     'decode_tallies',
+    'decode_want',
     'encode_demand',
     'encode_digest',
+    'encode_grant',
+    'encode_limit',
     'encode_objects',
     'encode_peer',
     'encode_tallies',
+    'encode_want',
 ]
 
 
@@ -151,3 +159,57 @@
         counts = totals.setdefault(tally.window, {})
         counts[tally.workspace] = tally.requests
     return sources
+
+
+def encode_limit(
+    start_key: str, rate: float | None, age_s: float
+) -> fleet_pb2.TargetLimit:
+    """Return the message for a target's rate limit."""
+    return fleet_pb2.TargetLimit(
+        target=start_key, rate=rate or 0.0, lifted=rate is None, age_s=age_s
+    )
+
+
+def decode_rate(message: fleet_pb2.TargetLimit) -> float | None:
+    """Return the requests a second, ``None`` if the limit was lifted."""
+    return None if message.lifted else message.rate
+
+
+def encode_want(want: permit_want.PermitWant) -> fleet_pb2.PermitWant:
+    """Return the message for the permits wanted for a target."""
+    return fleet_pb2.PermitWant(
+        limit=encode_limit(want.start_key, want.rate, want.age_s),
+        count=want.count,
+        spent=want.spent,
+    )
+
+
+def decode_want(message: fleet_pb2.PermitWant) -> permit_want.PermitWant:
+    """Build the want for a target's permits from its message."""
+    return permit_want.PermitWant(
+        message.limit.target,
+        message.count,
+        message.spent,
+        decode_rate(message.limit),
+        message.limit.age_s,
+    )
+
+
+def encode_grant(grant: permit_grant.PermitGrant) -> fleet_pb2.PermitGrant:
+    """Return the message for permits that were issued."""
+    return fleet_pb2.PermitGrant(
+        limit=encode_limit(grant.start_key, grant.rate, grant.age_s),
+        count=grant.count,
+        retry_s=grant.retry_s,
+    )
+
+
+def decode_grant(message: fleet_pb2.PermitGrant) -> permit_grant.PermitGrant:
+    """Build the permits that were issued from their message."""
+    return permit_grant.PermitGrant(
+        message.limit.target,
+        message.count,
+        message.retry_s,
+        decode_rate(message.limit),
+        message.limit.age_s,
+    )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
@@ -15,6 +15,7 @@
 from chestnutshunt_daemon import peer_server
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.peers import heartbeat
+from chestnutshunt_daemon.peers import permit_desk
 from chestnutshunt_daemon.peers import store_codec
 from chestnutshunt_daemon.wire import fleet_pb2
 from chestnutshunt_daemon.wire import fleet_pb2_grpc
@@ -45,6 +46,8 @@
         The store, called directly and not through a peer.
     runner : JobRunner
         Runs this daemon's jobs.
+    desk : PermitDesk
+        Issues permits for rate-limited targets.
     """
 
     def __init__(
@@ -52,10 +55,12 @@
         state: fleet_state.FleetState,
         store: object_store.ObjectStore,
         runner: 'job_runner.JobRunner',
+        desk: permit_desk.PermitDesk,
     ) -> None:
         self.state = state
         self.store = store
         self.runner = runner
+        self.desk = desk
 
     def Sync(
         self, request: fleet_pb2.State, context: grpc.ServicerContext
@@ -150,6 +155,16 @@
         """Make a store call for a daemon that cannot reach the store."""
         return store_codec.execute_call(self.store, request)
 
+    def IssuePermits(
+        self, request: fleet_pb2.PermitRequest, context: grpc.ServicerContext
+    ) -> fleet_pb2.PermitReply:
+        """Issue permits for requests to rate-limited targets."""
+        wants = [fleet_codec.decode_want(want) for want in request.wants]
+        grants = self.desk.issue(wants, request.relayed)
+        return fleet_pb2.PermitReply(
+            grants=[fleet_codec.encode_grant(grant) for grant in grants]
+        )
+
 
 @contextlib.contextmanager
 def fleet_server(service: FleetService, address: str) -> Iterator[grpc.Server]:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
@@ -16,6 +16,10 @@
 # some 50 bytes.
 MAX_CRASH_COUNT = 200
 
+# Rate limits of targets in one heartbeat, those learned last; each takes some
+# 50 bytes.
+MAX_LIMIT_COUNT = 200
+
 # Key of the loads that a leaf hears from its hubs: each of them reports those
 # of the whole fleet.
 FLEET_LOADS = ''
@@ -75,6 +79,8 @@
         heartbeat.crashes.add(
             digest=digest, replicas=ages.keys(), ages_s=ages.values()
         )
+    for entry in state.rate_gate.limits.snapshot(MAX_LIMIT_COUNT):
+        heartbeat.limits.append(fleet_codec.encode_limit(*entry))
     for peer in peers_for(state, for_leaf):
         heartbeat.peers.append(
             fleet_codec.encode_peer(peer, state.clock.monotonic())
@@ -186,6 +192,12 @@
     apply_loads(state, message)
     for entry in message.loading:
         state.replicas.record_loading(entry.replica, entry.left_s)
+    for entry in message.limits:
+        state.rate_gate.limits.record(
+            entry.target,
+            fleet_codec.decode_rate(entry),
+            sent_at - entry.age_s,
+        )
     apply_peers(state, message, now)
     state.quarantine.merge_peer_report(
         {
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
@@ -20,6 +20,8 @@
     moved : bool
         True if the request moves away from a target that is about to be
         reclaimed.
+    rate_limited : bool
+        True if the target's rate limit did not allow to send the request.
     """
 
     def __init__(
@@ -29,9 +31,11 @@
         crashed: bool = False,
         stale: bool = False,
         moved: bool = False,
+        rate_limited: bool = False,
     ) -> None:
         super().__init__(message)
         self.attempt_progress = reached
         self.crashed = crashed
         self.stale = stale
         self.moved = moved
+        self.rate_limited = rate_limited
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -11,7 +11,7 @@
 
 from chestnutshunt.attempts import progress
 from chestnutshunt import clock
-from chestnutshunt.ratelimit import limit_table
+from chestnutshunt.ratelimit import rate_gate
 from chestnutshunt.replicas import replica
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import headers
@@ -60,8 +60,8 @@
         Encodes request headers and decodes response heads.
     clock : Clock
         Clock of deadlines.
-    limits : LimitTable
-        Records the rate limits that targets name.
+    gate : RateGate
+        Records the rate limits of targets and holds back requests.
     """
 
     def __init__(
@@ -69,12 +69,12 @@
         pool: connection_pool.ConnectionPool,
         codec: target_codec.TargetCodec,
         clock: clock.Clock,
-        limits: limit_table.LimitTable,
+        gate: rate_gate.RateGate,
     ) -> None:
         self.pool = pool
         self.codec = codec
         self.clock = clock
-        self.limits = limits
+        self.gate = gate
 
     @contextlib.contextmanager
     def exchange(
@@ -134,6 +134,12 @@
         TargetError
             The attempt failed; its `progress` tells how far it had got.
         """
+        if not self.gate.take(target):
+            raise target_error.TargetError(
+                f'{target.id} takes no more requests now.',
+                progress.Progress.NOT_SENT,
+                rate_limited=True,
+            )
         connection = None
         if reuse:
             connection = self.pool.take_idle(target.address, request.id)
@@ -199,7 +205,7 @@
                 'target': pending.replica.id,
                 'software': pending.replica.software,
                 'after': resume_after,
-                'rate_limit': self.limits.rate(pending.replica),
+                'rate_limit': self.gate.limits.rate(pending.replica),
             },
         )
         pending.connection.timeout = SEND_TIMEOUT_S
@@ -267,7 +273,9 @@
                 progress.Progress.MAY_HAVE_RUN,
                 stale=pending.reused,
             )
-        self.limits.observe(pending.replica, head.rate_limit, pending.sent_at)
+        self.gate.limits.observe(
+            pending.replica, head.rate_limit, pending.sent_at
+        )
         forwarded = [
             (key, value)
             for key, value in response.headers.items()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -286,20 +286,29 @@
     def wait_or_refuse(self, pending: forward_state.ForwardState) -> None:
         """Make busy targets eligible again after a delay, or raise."""
         waited_s = self.state.clock.monotonic() - pending.started_at
-        has_targets = bool(self.state.replicas.serving(pending.service))
+        view = self.state.replicas
+        has_targets = bool(view.serving(pending.service))
         if pending.may_have_run or not has_targets:
             raise self.final_error(
                 pending, f'No target of {pending.service} is left.'
             )
-        if (
-            not pending.unavailable_ids
-            or waited_s > BUSY_RETRY_RATIO * pending.route.goal_s
-        ):
+        limited = [
+            target
+            for target in view.candidates(
+                pending.service, pending.unavailable_ids
+            )
+            if self.state.rate_gate.is_limited(target)
+        ]
+        left_s = BUSY_RETRY_RATIO * pending.route.goal_s - waited_s
+        if left_s < 0 or not (pending.unavailable_ids or limited):
             raise self.final_error(
                 pending, f'All targets of {pending.service} are busy.'
             )
         pending.unavailable_ids.clear()
-        self.state.clock.sleep(BUSY_RETRY_S)
+        if limited:
+            self.state.rate_gate.wait(limited, pending.request.id, left_s)
+        else:
+            self.state.clock.sleep(BUSY_RETRY_S)
 
     def final_error(
         self, pending: forward_state.ForwardState, message: str
@@ -307,7 +316,9 @@
         """Return the error that ends a request."""
         if pending.may_have_run:
             return errors.TargetFailed(message)
-        return refusals.no_target(message, self.rng)
+        return refusals.no_target(
+            message, self.rng, self.state.permit_delay_s(pending.service)
+        )
 
     def record_failure(
         self,
@@ -327,6 +338,9 @@
         self.state.metrics.attempts.labels('failed').inc()
         if sent:
             pending.may_have_run = True
+        if exc.rate_limited:
+            pending.unavailable_ids.add(target.id)
+            return
         if exc.stale:
             # Only the idle connection was closed; the target did not fail.
             pending.reached_ids.discard(target.id)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/refusals.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/refusals.py
@@ -10,7 +10,9 @@
 MEAN_RETRY_AFTER_S = 0.15
 
 
-def no_target(message: str, rng: random.Random) -> errors.NoTarget:
+def no_target(
+    message: str, rng: random.Random, least_mean_s: float = 0.0
+) -> errors.NoTarget:
     """Return an error with a random Retry-After, to spread the retries.
 
     Parameters
@@ -19,6 +21,9 @@
         Why the request was not run.
     rng : Random
         Draws the time evenly from half to one and a half times the mean.
+    least_mean_s : float, optional
+        Least mean in seconds, if targets limit the rate of requests.
     """
-    delay_s = MEAN_RETRY_AFTER_S * (0.5 + rng.random())
+    mean_s = max(MEAN_RETRY_AFTER_S, least_mean_s)
+    delay_s = mean_s * (0.5 + rng.random())
     return errors.NoTarget(message, retry_after_s=round(delay_s, 3))
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -29,6 +29,10 @@
 # target. Callers wait at least that long.
 EVENT_TIMEOUT_S = 2.0
 
+# Part of a route's latency goal for which a stream waits if all targets limit
+# the rate of requests.
+PERMIT_WAIT_RATIO = 0.2
+
 EVENT_STREAM_TYPE = 'text/event-stream'
 
 
@@ -143,9 +147,7 @@
         target = None
         if allowed and (stream.route.resumable or not stream.reached_count):
             if stream.reached_count < stream.route.max_attempts:
-                target = self.state.replicas.choose(
-                    stream.service, stream.tried_ids
-                )
+                target = self.allowed_target(stream)
         if target is not None:
             stream.tried_ids.add(target.id)
             return target
@@ -154,9 +156,27 @@
                 'The stream ended early and cannot be resumed.'
             )
         raise refusals.no_target(
-            f'No target of {stream.service} can take the stream.', self.rng
+            f'No target of {stream.service} can take the stream.',
+            self.rng,
+            self.state.permit_delay_s(stream.service),
         )
 
+    def allowed_target(
+        self, stream: stream_state.StreamState
+    ) -> replica.Replica | None:
+        """Return the next target, waiting for a permit if all need one."""
+        view = self.state.replicas
+        target = view.choose(stream.service, stream.tried_ids)
+        limited = view.candidates(stream.service, stream.tried_ids)
+        if target is None and limited:
+            self.state.rate_gate.wait(
+                limited,
+                stream.request.id,
+                PERMIT_WAIT_RATIO * stream.route.goal_s,
+            )
+            target = view.choose(stream.service, stream.tried_ids)
+        return target
+
     def attempt(
         self,
         stream: stream_state.StreamState,
@@ -272,7 +292,7 @@
                 'error': exc.message,
             },
         )
-        if not exc.stale:
+        if not exc.stale and not exc.rate_limited:
             self.state.replicas.state(target).breaker.record_failure()
         if exc.attempt_progress is not progress.Progress.NOT_SENT:
             stream.reached_count += 1
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -112,6 +112,7 @@
         self.peer_loads: dict[str, tuple[float, dict[str, int]]] = {}
         self.usual_intervals: dict[str, tuple[float, float]] = {}
         self.has_connection: Callable[[str], bool] = lambda address: True
+        self.may_send: Callable[[replica.Replica], bool] = lambda target: True
         mirror.listeners.append(self.refresh)
 
     def refresh(self) -> None:
@@ -271,11 +272,20 @@
 
         An ejected target is used only if there is no other.
         """
-        candidates = [
+        allowed = filter(self.may_send, self.candidates(service, excluded))
+        return min(allowed, key=self.cost, default=None)
+
+    def candidates(
+        self, service: str, excluded: Collection[str] = ()
+    ) -> list[replica.Replica]:
+        """Return the targets for a request, whether or not one is allowed.
+
+        These are the healthy ones, or all if none is healthy.
+        """
+        serving = [
             item for item in self.serving(service) if item.id not in excluded
         ]
-        healthy = [item for item in candidates if self.is_healthy(item)]
-        return min(healthy or candidates, key=self.cost, default=None)
+        return [item for item in serving if self.is_healthy(item)] or serving
 
     def choose_engine(
         self,
@@ -303,16 +313,12 @@
         avoided : str, optional
             Id of a target that is used only if there is no other.
         """
-        now = self.clock.monotonic()
-        candidates = [
-            item
-            for item in self.serving(service)
-            if self.is_healthy(item)
-            and self.state(item).full_until <= now
-            and self.state(item).loading_until <= now
-            and self.load(item) < item.slots
-            and self.has_version(item, model, minimum, exact)
-        ]
+        candidates = list(
+            filter(
+                self.may_send,
+                self.free_engines(service, model, minimum, exact),
+            )
+        )
         preferred_ids = set(preferred)
         others = [item for item in candidates if item.id != avoided]
         candidates = others or candidates
@@ -324,6 +330,29 @@
         ]
         return min(warm or candidates, key=self.cost, default=None)
 
+    def free_engines(
+        self,
+        service: str,
+        model: str,
+        minimum: int,
+        exact: int | None = None,
+    ) -> list[replica.Replica]:
+        """Return the targets of which `choose_engine` returns one.
+
+        Those to which no request may be sent now because of their rate limit
+        are included.
+        """
+        now = self.clock.monotonic()
+        return [
+            item
+            for item in self.serving(service)
+            if self.is_healthy(item)
+            and self.state(item).full_until <= now
+            and self.state(item).loading_until <= now
+            and self.load(item) < item.slots
+            and self.has_version(item, model, minimum, exact)
+        ]
+
     def has_version(
         self,
         target: replica.Replica,
--- a/tests/fleet_parts.py
+++ b/tests/fleet_parts.py
@@ -49,7 +49,7 @@
 def make_exchanger(state):
     pool = connection_pool.ConnectionPool(state.clock)
     codec = target_codec.PlatformTargetCodec()
-    return exchange.Exchanger(pool, codec, state.clock, state.rate_limits)
+    return exchange.Exchanger(pool, codec, state.clock, state.rate_gate)
 
 
 def make_forwarder(state):
