Log which software version made each part of a caller's stream

The caller's position is decoded and each target's part of a stream is logged when it ends; this takes the place of `Stream from a target ended early`. benchmarks/log_counts.py counts joined streams from these lines. Nothing is decided by them yet.

--- a/benchmarks/log_counts.py
+++ b/benchmarks/log_counts.py
@@ -35,6 +35,10 @@
         Times of the requests to each target in seconds.
     limits : dict of str to list of (float, float or None)
         Times and values of each target's limit as the daemons learned them.
+    software : dict of str to str
+        Software version of each target.
+    streams : dict of str to str
+        Software version that began each stream of a caller.
     produced : dict of (str, int) to str
         Software version that generated an event, by request and event.
     joined : list of str
@@ -50,6 +54,7 @@
         factory=lambda: collections.defaultdict(list)
     )
     software: dict[str, str] = attrs.field(factory=dict)
+    streams: dict[str, str] = attrs.field(factory=dict)
     produced: dict[tuple[str, int], str] = attrs.field(factory=dict)
     joined: list[str] = attrs.field(factory=list)
     resumed: int = 0
@@ -73,6 +78,16 @@
         elif event == 'Item run' and line['last'] is not None:
             key = (line['request'], line['last'])
             self.produced[key] = self.software.get(line['target'], '')
+        elif event == 'Stream run' and line['last'] != line['after']:
+            self.add_stream(line)
+
+    def add_stream(self, line: dict) -> None:
+        """Add a target's part of a caller's stream."""
+        stream = line['begun_by'] or line['request']
+        before = self.streams.setdefault(stream, line['software'])
+        self.resumed += line['after'] is not None
+        if before != line['software']:
+            self.joined.append(stream)
 
     def worst_window(self, target: str) -> tuple[int, float, float]:
         """Return requests, allowed requests and start of the worst window."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_codec.py
@@ -5,6 +5,7 @@
 from chestnutshunt.jobs import job
 from chestnutshunt.jobs import job_page
 from chestnutshunt_daemon.callers import calls
+from chestnutshunt_daemon.targets import stream_position
 
 __all__ = ['CallerCodec']
 
@@ -33,6 +34,12 @@
     def remaining_s(self, headers: dict[str, str]) -> float | None:
         """Return the caller's timeout in seconds, ``None`` if not set."""
 
+    @abc.abstractmethod
+    def stream_position(
+        self, headers: dict[str, str]
+    ) -> stream_position.StreamPosition:
+        """Return where the caller takes a stream up again, if it does."""
+
     @abc.abstractmethod
     def decode_job(
         self, body: bytes, job_id: str, host: str, path: str, now: float
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -219,6 +219,7 @@
             body=request.body,
             workspace=grant.workspace,
             deadline=self.deadline(request, grant),
+            position=self.codec.stream_position(request.headers),
         )
 
     def deadline(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -85,6 +85,7 @@
             route.service_for(self.rng.random()),
             token,
             may_send,
+            last_event=request.position.last_event,
         )
         stack = contextlib.ExitStack()
         try:
@@ -134,6 +135,7 @@
                 continue
             if response.head.status < 500:
                 self.state.replicas.state(target).breaker.record_success()
+            stream.target = target
             stack.enter_context(attempt)
             return response
 
@@ -193,7 +195,7 @@
             if stream.route.resumable
             else remaining_s
         )
-        first = stream.last_event is None and not stream.reached_count
+        first = not stream.reached_count
         self.state.count_request(stream.request.workspace, int(first))
         try:
             return stack.enter_context(
@@ -230,27 +232,44 @@
                 yield from response.chunks()
                 return
             while True:
+                resumed_after = stream.last_event
+                outcome = 'cancelled'
                 try:
                     yield from self.events(stream, response)
+                    outcome = 'whole'
                     return
                 except (target_error.TargetError, ValueError) as exc:
                     if stream.cancel_token.cancelled.is_set():
                         raise cancel_token.CallerLeft(
                             'The caller disconnected.'
                         ) from exc
-                    LOG.info(
-                        'Stream from a target ended early',
-                        extra={
-                            'request': stream.request.id,
-                            'target': response.target_id,
-                            'last': stream.last_event,
-                            'resumable': stream.route.resumable,
-                            'error': str(exc),
-                        },
-                    )
+                    outcome = str(exc)
+                finally:
+                    self.log_run(stream, resumed_after, outcome)
                 stack.close()
                 response = self.connect(stream, stack)
 
+    def log_run(
+        self,
+        stream: stream_state.StreamState,
+        resumed_after: int | None,
+        outcome: str,
+    ) -> None:
+        """Log the end of one target's part of a stream."""
+        LOG.info(
+            'Stream run',
+            extra={
+                'request': stream.request.id,
+                'begun_by': stream.request.position.begun_by,
+                'target': stream.target.id,
+                'software': stream.target.software,
+                'after': resumed_after,
+                'last': stream.last_event,
+                'resumable': stream.route.resumable,
+                'outcome': outcome,
+            },
+        )
+
     def events(
         self,
         stream: stream_state.StreamState,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chestnutshunt.deployment import route
+from chestnutshunt.replicas import replica
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import target_request
 
@@ -32,7 +33,9 @@
     reached_count : int
         Targets that may have run the request.
     last_event : int or None
-        Id of the last event that was forwarded.
+        Id of the last event that the caller has.
+    target : Replica or None
+        Target whose events are forwarded.
     """
 
     request: target_request.TargetRequest
@@ -43,3 +46,4 @@
     tried_ids: set[str] = attrs.field(factory=set)
     reached_count: int = 0
     last_event: int | None = None
+    target: replica.Replica | None = None
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_request.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_request.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from chestnutshunt_daemon.targets import stream_position
+
 __all__ = ['TargetRequest']
 
 
@@ -27,6 +29,8 @@
         Workspace of the caller's key; empty if there is none.
     deadline : float
         Monotonic time in seconds after which the response is not needed.
+    position : StreamPosition
+        Where the caller takes a stream up again.
     """
 
     id: str
@@ -37,3 +41,4 @@
     body: bytes = attrs.field(repr=False)
     workspace: str
     deadline: float
+    position: stream_position.StreamPosition = stream_position.StreamPosition()
