Reproduce ORDER: texts and streams go on at another software version

benchmarks/log_counts.py counts a stream whose first part a killed daemon forwarded as begun at the target to which its request went.

--- a/benchmarks/log_counts.py
+++ b/benchmarks/log_counts.py
@@ -37,6 +37,8 @@
         Times and values of each target's limit as the daemons learned them.
     software : dict of str to str
         Software version of each target.
+    sent_to : dict of str to str
+        Software version of the target to which each request went last.
     streams : dict of str to str
         Software version that began each stream of a caller.
     produced : dict of (str, int) to str
@@ -54,6 +56,7 @@
         factory=lambda: collections.defaultdict(list)
     )
     software: dict[str, str] = attrs.field(factory=dict)
+    sent_to: dict[str, str] = attrs.field(factory=dict)
     streams: dict[str, str] = attrs.field(factory=dict)
     produced: dict[tuple[str, int], str] = attrs.field(factory=dict)
     joined: list[str] = attrs.field(factory=list)
@@ -65,6 +68,7 @@
         if event == SEND_EVENT:
             self.sends[line['target']].append(at)
             self.software[line['target']] = line['software']
+            self.sent_to[line['request']] = line['software']
             if line['after'] is not None:
                 self.resumed += 1
                 before = self.produced.get((line['request'], line['after']))
@@ -84,7 +88,9 @@
     def add_stream(self, line: dict) -> None:
         """Add a target's part of a caller's stream."""
         stream = line['begun_by'] or line['request']
-        before = self.streams.setdefault(stream, line['software'])
+        # A killed daemon has not logged the part that it had forwarded.
+        begun_at = self.sent_to.get(stream, line['software'])
+        before = self.streams.setdefault(stream, begun_at)
         self.resumed += line['after'] is not None
         if before != line['software']:
             self.joined.append(stream)
--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -109,8 +109,11 @@
     drop(connection, fields)
 
 
-def events(*numbers, complete=True, version=None, **headers):
-    """Return a step that streams events; an incomplete stream is cut."""
+def events(*numbers, complete=True, version=None, label='d', **headers):
+    """Return a step that streams events.
+
+    An incomplete stream is cut, or left open if `complete` is ``None``.
+    """
 
     def step(connection, fields):
         head = (
@@ -125,11 +128,11 @@
             head += f'{name.replace("_", "-")}: {value}\r\n'
         connection.sendall(head.encode() + b'\r\n')
         for number in numbers:
-            data = f'id: {number}\ndata: d{number}\n\n'.encode()
+            data = f'id: {number}\ndata: {label}{number}\n\n'.encode()
             connection.sendall(b'%x\r\n%s\r\n' % (len(data), data))
         if complete:
             connection.sendall(b'0\r\n\r\n')
-        else:
+        elif complete is not None:
             drop(connection, fields)
 
     return step
--- a/tests/faults/test_fleet.py
+++ b/tests/faults/test_fleet.py
@@ -36,10 +36,12 @@
         'routes': [
             route('app', 'safe'),
             route('model', 'rollout', dueMs=5000, itemTtlS=60),
+            route('text', 'stream', resumable=True),
             *(route(name, 'safe', service='app') for name in routes),
         ],
         'services': [
             {'name': 'app', 'healthPath': '/health', 'maxConns': 64},
+            {'name': 'text', 'healthPath': '/health', 'maxConns': 64},
             {
                 'name': 'model',
                 'healthPath': '/health',
@@ -124,7 +126,7 @@
     def put(self, kind, name, value):
         put_if_changed.put_if_changed(self.client, kind, name, value).unwrap()
 
-    def target(self, name, service, *script, version=1):
+    def target(self, name, service, *script, version=1, software=''):
         target = fake_target.FakeTarget(name, *script)
         self.stack.callback(target.close)
         target.entry = {
@@ -134,6 +136,7 @@
             'slots': 4,
             'state': 'ready',
             'models': [{'name': 'm', 'version': version}],
+            'version': software,
         }
         self.put('servers', name, target.entry)
         return target
--- a/tests/fleet_parts.py
+++ b/tests/fleet_parts.py
@@ -34,6 +34,7 @@
                 'zone': target.datacentre,
                 'slots': target.slots,
                 'born': target.started_ms,
+                'version': target.software,
                 'state': 'draining' if target.leaving else 'ready',
                 'models': [
                     {'name': name, 'version': version}
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -88,11 +88,13 @@
         thread.start()
         stack.callback(self.state.stopped.set)
 
-    def add(self, name, *script, kind='model', versions=None):
+    def add(self, name, *script, kind='model', versions=None, software=''):
         target = fake_target.FakeTarget(name, *script)
         self.stack.callback(target.close)
         versions = {'m': 5} if versions is None else versions
-        self.targets.append(target.replica(kind, versions=versions))
+        self.targets.append(
+            target.replica(kind, versions=versions, software=software)
+        )
         fleet_parts.register(self.state, *self.targets)
         return target
 
@@ -138,6 +140,80 @@
     assert sorted(map(str, sent)) == ['2', 'None']
 
 
+def whole_or_rest(label):
+    """Return a step that generates a whole text, or the rest of one."""
+
+    def step(connection, fields):
+        resumed = 'last-event-id' in fields
+        numbers = (3, 4) if resumed else (1, 2, 3, 4)
+        fake_target.events(*numbers, version=5, label=label)(
+            connection, fields
+        )
+
+    return step
+
+
+def first_part(label):
+    """Return a step that breaks off after two events, and does not resume."""
+
+    def step(connection, fields):
+        if 'last-event-id' in fields:
+            fake_target.drop(connection, fields)
+        else:
+            fake_target.events(1, 2, complete=False, version=5, label=label)(
+                connection, fields
+            )
+
+    return step
+
+
+# Guards against ORDER: a text was joined from the events of targets with two
+# software versions, whose states do not fit together.
+def test_text_goes_on_only_at_the_software_that_began_it(stack):
+    harness = Harness(stack)
+    harness.add('t1', first_part('old'), software='v1')
+    run = harness.run(make_job(count=4))
+    states = run.item_states.values()
+    wait_until(lambda: all(entry.last_event for entry in states))
+    harness.targets.clear()
+    for number in range(3):
+        harness.add(f'new{number}', whole_or_rest('new'), software='v2')
+    harness.add('old', whole_or_rest('old'), software='v1')
+    wait_until(lambda: run.is_done)
+    texts = {listed.text for listed in run.result_log.results}
+    assert texts == {'old1\nold2\nold3\nold4'}
+
+
+# Guards against ORDER: no target with the software that began a text is left.
+def test_text_starts_over_when_its_software_is_gone(stack):
+    harness = Harness(stack)
+    harness.add('t1', first_part('old'), software='v1')
+    run = harness.run(make_job(count=1))
+    (entry,) = run.item_states.values()
+    wait_until(lambda: entry.last_event == 2)
+    harness.targets.clear()
+    harness.add('t2', whole_or_rest('new'), software='v2')
+    wait_until(lambda: run.is_done)
+    (listed,) = run.result_log.results
+    assert listed.text == 'new1\nnew2\nnew3\nnew4'
+
+
+# Guards against ORDER: a text that an earlier job left unfinished went on at
+# whatever target the next job of the trainer found.
+def test_text_of_an_earlier_job_goes_on_at_its_software(stack):
+    harness = Harness(stack)
+    harness.add('t1', first_part('old'), software='v1')
+    run = harness.run(make_job('j', count=1))
+    (entry,) = run.item_states.values()
+    wait_until(lambda: entry.last_event == 2)
+    harness.runner.end('j')
+    wait_until(lambda: not entry.running)
+    harness.targets.clear()
+    harness.add('t2', whole_or_rest('new'), software='v2')
+    (listed,) = harness.results(make_job('k', count=1))
+    assert listed.text == 'new1\nnew2\nnew3\nnew4'
+
+
 def test_single_version_route_restarts_on_a_new_version(stack):
     def cut_or_whole(connection, fields):
         if len(target.heads) == 1:
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -29,9 +29,16 @@
     )
 
 
-def open_stream(resumable, *targets):
+def open_stream(resumable, *targets, software=()):
     state = fleet_parts.make_state()
-    fleet_parts.register(state, *(x.replica() for x in targets))
+    versions = software or [''] * len(targets)
+    fleet_parts.register(
+        state,
+        *(
+            fake.replica(software=version)
+            for fake, version in zip(targets, versions, strict=True)
+        ),
+    )
     forwarder = stream_forwarder.StreamForwarder(
         state, fleet_parts.make_exchanger(state), random.Random(1)
     )
@@ -70,6 +77,45 @@
     assert [x['last-event-id'] for x in resumed] == ['2']
 
 
+# Guards against ORDER: one response held events of targets with two software
+# versions.
+def test_stream_goes_on_only_at_the_software_that_began_it(target):
+    targets = [
+        target(
+            f't{n}',
+            first_or_rest(
+                fake_target.events(1, 2, complete=False, label=label),
+                fake_target.events(3, 4, label=label),
+            ),
+        )
+        for n, label in enumerate(['a', 'a', 'b', 'b'])
+    ]
+    for _ in range(10):
+        response = open_stream(True, *targets, software=['a', 'a', 'b', 'b'])
+        data = b''.join(response.chunks).decode()
+        assert 'data: a' not in data or 'data: b' not in data, data
+        assert data.count('id: ') == 4
+
+
+# Guards against ORDER: a stream whose software is gone is broken off.
+def test_stream_ends_when_its_software_is_gone(target):
+    targets = [
+        target(
+            f't{n}',
+            first_or_rest(
+                fake_target.events(1, 2, complete=False),
+                fake_target.events(3, 4),
+            ),
+        )
+        for n in range(2)
+    ]
+    response = open_stream(True, *targets, software=['v1', 'v2'])
+    with pytest.raises(errors.TargetFailed):
+        list(response.chunks)
+    heads = [fields for fake in targets for _, fields in fake.heads]
+    assert not [x for x in heads if 'last-event-id' in x]
+
+
 def first_or_rest(first_part, rest):
     def step(connection, fields):
         (rest if 'last-event-id' in fields else first_part)(connection, fields)
