Go on with an item's text only at the software version that began it

What was handed in as one text could have been generated by two software versions of a target, which do not fit together (ORDER).

Cause: an item that was broken off, moved from a slow target or came again in the trainer's next job went on at any target with suitable weights. The text now keeps its origin (service and software version), also from one job to the next. It goes on only there; if no target of its origin serves, or none has had a free slot for 1 s while one of another version has, the item starts over. An item that waits for its origin no longer holds up the items behind it.

--- a/benchmarks/log_counts.py
+++ b/benchmarks/log_counts.py
@@ -79,7 +79,7 @@
         elif event == LIMIT_EVENT:
             target = line['target'].partition('/')[0]
             self.limits[target].append((at, line['rate']))
-        elif event == 'Item run' and line['last'] is not None:
+        elif event == 'Item run' and line['last'] != line['after']:
             key = (line['request'], line['last'])
             self.produced[key] = self.software.get(line['target'], '')
         elif event == 'Stream run' and line['last'] != line['after']:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -154,6 +154,8 @@
             deadline=self.state.clock.monotonic() + ATTEMPT_TIMEOUT_S,
         )
         started_at = self.state.clock.monotonic()
+        if entry.origin != target.origin:
+            entry.reset()
         resume_after = entry.last_event
         call = entry.item.scoring
         outcome = 'whole'
@@ -258,7 +260,9 @@
             now = self.state.clock.monotonic()
             events = list(reader.feed(data))
             for item_event in events:
-                version = self.add_event(entry, route, item_event, version)
+                version = self.add_event(
+                    entry, route, target, item_event, version
+                )
             if events:
                 self.state.replicas.record_event_interval(
                     target, (now - last_event_at) / len(events)
@@ -278,6 +282,7 @@
         self,
         entry: item_state.ItemState,
         route: route.Route,
+        target: replica.Replica,
         item_event: event.Event,
         version: int | None,
     ) -> int | None:
@@ -298,7 +303,7 @@
         if route.single_version and entry.versions not in ([], [version]):
             entry.reset()
             raise ValueError('The weight version changed within the text.')
-        entry.add_event(item_event.id, item_event.data, version)
+        entry.add_event(item_event.id, item_event.data, version, target.origin)
         return version
 
     def check_speed(
@@ -323,6 +328,7 @@
             run.job.minimum_version,
             exact=entry.versions[0] if route.single_version else None,
             avoided=target.id,
+            origin=target.origin,
         )
         if (
             other is not None
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -52,6 +52,10 @@
 # Running items that a daemon with one core can serve.
 SLOTS_PER_CORE = 100
 
+# Longest wait for a free slot at a target of the origin of a text; then the
+# item starts over at another.
+MAX_BLOCKED_S = 1.0
+
 # Items that one daemon runs concurrently; each thread takes about 60 KB.
 MAX_RUNNING_ITEMS_COUNT = 160
 
@@ -220,10 +224,17 @@
                     run, entry, 'its item lifetime has expired'
                 )
             return
+        blocked_count = 0
         for index, entry in enumerate(startable):
-            if not self.start_item(run, entry, route):
-                self.want_permits(run, route, len(startable) - index)
+            if self.start_item(run, entry, route):
+                continue
+            if not entry.texts:
+                blocked_count += len(startable) - index
                 break
+            # It may wait for certain targets only, and the next one not.
+            blocked_count += 1
+        if blocked_count:
+            self.want_permits(run, route, blocked_count)
 
     def start_item(
         self,
@@ -289,6 +300,27 @@
             if not self.is_loaded(service, run.job.model, exact_version):
                 entry.reset()
                 exact_version = None
+        target = self.choose_engine(run, entry, service, exact_version)
+        if target is not None:
+            entry.blocked_since = 0.0
+        elif entry.texts and self.is_blocked(service, entry):
+            # The item starts over at a target of another origin.
+            target = self.choose_engine(run, entry, service, None, False)
+        return target
+
+    def choose_engine(
+        self,
+        run: job_run.JobRun,
+        entry: item_state.ItemState,
+        service: str,
+        exact_version: int | None,
+        goes_on: bool = True,
+    ) -> replica.Replica | None:
+        """Return the target for an item, ``None`` if none has a slot.
+
+        A text goes on only at a target of its origin, unless `goes_on` is
+        False.
+        """
         return self.state.replicas.choose_engine(
             service,
             run.job.model,
@@ -296,8 +328,22 @@
             run.group_targets.get(entry.item.prompt_group, ()),
             exact_version,
             entry.avoided_target,
+            entry.origin if goes_on else None,
         )
 
+    def is_blocked(self, service: str, entry: item_state.ItemState) -> bool:
+        """Return whether a text has waited too long for its origin.
+
+        That is at once if no target of that origin serves, else after
+        `MAX_BLOCKED_S`.
+        """
+        serving = self.state.replicas.serving(service)
+        if not any(item.origin == entry.origin for item in serving):
+            return True
+        now = self.state.clock.monotonic()
+        entry.blocked_since = entry.blocked_since or now
+        return now - entry.blocked_since > MAX_BLOCKED_S
+
     def is_loaded(self, service: str, model: str, version: int) -> bool:
         """Return whether any target has loaded exactly this weight version."""
         view = self.state.replicas
--- a/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
@@ -3,6 +3,7 @@
 import attrs
 
 from chestnutshunt.jobs import item
+from chestnutshunt.streams import stream_origin
 
 __all__ = ['ItemState']
 
@@ -19,6 +20,11 @@
         Data of the events received so far.
     last_event : int or None
         Id of the last event received.
+    origin : StreamOrigin or None
+        Origin of the text; ``None`` without one.
+    blocked_since : float
+        Monotonic time in seconds since which no target of that origin has
+        had a free slot; 0 if one had.
     versions : list of int
         Weight versions that generated one of the events, in order of first
         appearance.
@@ -43,6 +49,8 @@
     item: item.Item
     texts: list[str] = attrs.field(factory=list)
     last_event: int | None = None
+    origin: stream_origin.StreamOrigin | None = None
+    blocked_since: float = 0.0
     versions: list[int] = attrs.field(factory=list)
     failures: int = 0
     score_failures: int = 0
@@ -53,9 +61,28 @@
     moves: int = 0
     avoided_target: str = ''
 
-    def add_event(self, event_id: int, data: str, version: int | None) -> None:
-        """Append an event and the weight version that generated it."""
+    def add_event(
+        self,
+        event_id: int,
+        data: str,
+        version: int | None,
+        origin: stream_origin.StreamOrigin | None = None,
+    ) -> None:
+        """Append an event.
+
+        Parameters
+        ----------
+        event_id : int
+            Id of the event.
+        data : str
+            Its data.
+        version : int or None
+            Weight version that generated it, if known.
+        origin : StreamOrigin, optional
+            Origin of the event.
+        """
         self.texts.append(data)
+        self.origin = origin
         self.last_event = event_id
         if version is not None and version not in self.versions:
             self.versions.append(version)
@@ -86,6 +113,7 @@
         self.texts = list(previous.texts)
         self.versions = list(previous.versions)
         self.last_event = previous.last_event
+        self.origin = previous.origin
         self.text_complete = previous.text_complete
         return True
 
@@ -94,4 +122,6 @@
         self.texts.clear()
         self.versions.clear()
         self.last_event = None
+        self.origin = None
+        self.blocked_since = 0.0
         self.text_complete = False
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from chestnutshunt.streams import stream_origin
+
 __all__ = ['Replica']
 
 
@@ -51,3 +53,8 @@
     def start_key(self) -> str:
         """Key that is unique to this process."""
         return f'{self.id}/{self.started_ms}'
+
+    @property
+    def origin(self) -> stream_origin.StreamOrigin:
+        """Origin of the streams that this target generates."""
+        return stream_origin.StreamOrigin(self.service, self.software)
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -17,6 +17,7 @@
 from chestnutshunt.routing import breaker
 from chestnutshunt.store import kind_mirror
 from chestnutshunt.store import stored_object
+from chestnutshunt.streams import stream_origin
 
 __all__ = ['SLOW_RATIO', 'ReplicaView']
 
@@ -295,6 +296,7 @@
         preferred: Iterable[str] = (),
         exact: int | None = None,
         avoided: str = '',
+        origin: stream_origin.StreamOrigin | None = None,
     ) -> replica.Replica | None:
         """Return a healthy target with a free slot and suitable weights.
 
@@ -312,13 +314,15 @@
             The only suitable weight version, instead of `minimum`.
         avoided : str, optional
             Id of a target that is used only if there is no other.
+        origin : StreamOrigin, optional
+            The only suitable origin, to go on with a text; any by default.
         """
-        candidates = list(
-            filter(
-                self.may_send,
-                self.free_engines(service, model, minimum, exact),
-            )
-        )
+        candidates = [
+            item
+            for item in self.free_engines(service, model, minimum, exact)
+            if self.may_send(item)
+            and (origin is None or item.origin == origin)
+        ]
         preferred_ids = set(preferred)
         others = [item for item in candidates if item.id != avoided]
         candidates = others or candidates
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams and texts that several targets generate in turn."""
