Go on with a stream within a response only at its software version

Cause: when a target broke a resumable stream off, the daemon went on at any other target of the service. It goes on only at one of the same service and software version now; without one the stream ends as broken off, and the caller may take it up.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -168,15 +168,16 @@
     ) -> replica.Replica | None:
         """Return the next target, waiting for a permit if all need one."""
         view = self.state.replicas
-        target = view.choose(stream.service, stream.tried_ids)
-        limited = view.candidates(stream.service, stream.tried_ids)
+        wanted = (stream.service, stream.tried_ids, stream.origin)
+        target = view.choose(*wanted)
+        limited = view.candidates(*wanted)
         if target is None and limited:
             self.state.rate_gate.wait(
                 limited,
                 stream.request.id,
                 PERMIT_WAIT_RATIO * stream.route.goal_s,
             )
-            target = view.choose(stream.service, stream.tried_ids)
+            target = view.choose(*wanted)
         return target
 
     def attempt(
@@ -291,6 +292,7 @@
                 ):
                     raise ValueError(f'Event {event.id} was repeated.')
                 stream.last_event = event.id
+                stream.origin = stream.target.origin
                 yield event.raw
         if reader.buffer.strip():
             raise ValueError('The stream ends inside an event.')
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
@@ -6,6 +6,7 @@
 
 from chestnutshunt.deployment import route
 from chestnutshunt.replicas import replica
+from chestnutshunt.streams import stream_origin
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import target_request
 
@@ -34,6 +35,8 @@
         Targets that may have run the request.
     last_event : int or None
         Id of the last event that the caller has.
+    origin : StreamOrigin or None
+        Origin of the events so far; ``None`` before the first one.
     target : Replica or None
         Target whose events are forwarded.
     """
@@ -46,4 +49,5 @@
     tried_ids: set[str] = attrs.field(factory=set)
     reached_count: int = 0
     last_event: int | None = None
+    origin: stream_origin.StreamOrigin | None = None
     target: replica.Replica | None = None
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -267,24 +267,45 @@
         return summed
 
     def choose(
-        self, service: str, excluded: Collection[str] = ()
+        self,
+        service: str,
+        excluded: Collection[str] = (),
+        origin: stream_origin.StreamOrigin | None = None,
     ) -> replica.Replica | None:
         """Return the target for a request, ``None`` if there is none.
 
         An ejected target is used only if there is no other.
+
+        Parameters
+        ----------
+        service : str
+            Service to which the target must belong.
+        excluded : collection of str, optional
+            Ids of targets that are not to be used.
+        origin : StreamOrigin, optional
+            The only suitable origin, to go on with a stream; any by default.
         """
-        allowed = filter(self.may_send, self.candidates(service, excluded))
+        allowed = filter(
+            self.may_send, self.candidates(service, excluded, origin)
+        )
         return min(allowed, key=self.cost, default=None)
 
     def candidates(
-        self, service: str, excluded: Collection[str] = ()
+        self,
+        service: str,
+        excluded: Collection[str] = (),
+        origin: stream_origin.StreamOrigin | None = None,
     ) -> list[replica.Replica]:
         """Return the targets for a request, whether or not one is allowed.
 
-        These are the healthy ones, or all if none is healthy.
+        These are the healthy ones, or all if none is healthy. Takes the
+        parameters of `choose`.
         """
         serving = [
-            item for item in self.serving(service) if item.id not in excluded
+            item
+            for item in self.serving(service)
+            if item.id not in excluded
+            and (origin is None or item.origin == origin)
         ]
         return [item for item in serving if self.is_healthy(item)] or serving
 
