Take a stream up only at the software version that began it

Callers that took a stream up at another daemon, or after a kill of daemons, got the rest from a target of another software version, with status 200 (ORDER).

Cause: a daemon chose any target for a stream that it had not begun itself. No daemon kept what had begun a stream, and after the loss of its daemon nobody knew.

Found while writing the tests: a record that is begun after all daemons had been killed looks as if there had been one version only. A record has a time since which it is complete; the new setting first_start (the platform's bootstrap) tells the holder of the duties that there are no streams from before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -25,6 +25,7 @@
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.fleet import mirror_reader
 from chestnutshunt_daemon.fleet import retirement_duty
+from chestnutshunt_daemon.fleet import software_duty
 from chestnutshunt_daemon.fleet import usage_duty
 from chestnutshunt_daemon.fleet import weights_duty
 from chestnutshunt_daemon import http_server
@@ -34,6 +35,7 @@
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.peers import fleet_mesh
 from chestnutshunt_daemon.peers import fleet_service
+from chestnutshunt_daemon.peers import origin_relay
 from chestnutshunt_daemon.peers import permit_client
 from chestnutshunt_daemon.peers import permit_desk
 from chestnutshunt_daemon.peers import relayed_store
@@ -154,9 +156,10 @@
         watch = caller_watch.CallerWatch()
         watch.start()
         stack.callback(watch.stop)
+        relay = origin_relay.OriginRelay(state, clients)
         desk = permit_desk.PermitDesk(state, clients)
         service = fleet_service.FleetService(
-            state, adapter.store, runner, desk
+            state, adapter.store, runner, desk, relay
         )
         stack.enter_context(
             fleet_service.fleet_server(service, config.peer_address)
@@ -166,6 +169,7 @@
             'pulls': mesh.run_pulls,
             'leaf-links': mesh.leaf_links.run,
             'permits': permit_client.PermitClient(state, clients, desk).run,
+            'origins': relay.run,
             'duties': holder.run,
             'dispatch': runner.dispatch,
             'jobs': runner.review,
@@ -175,6 +179,7 @@
             'usage': usage_duty.UsageDuty(
                 state, holder, store, adapter.duties
             ).run,
+            'software': software_duty.SoftwareDuty(state, holder, store).run,
             'cleanup': cleanup_duty.CleanupDuty(state, holder, store).run,
             'retirements': retirement_duty.RetirementDuty(
                 state, holder, store
@@ -201,7 +206,7 @@
             watch,
         )
         ready = ready_app.ReadyApplication(
-            state, lambda: fleet_dump.dump(state, holder, runner)
+            state, lambda: fleet_dump.dump(state, holder, runner, relay)
         )
         addresses = {config.ready_address, config.metrics_address} - {''}
         for address in sorted(addresses):
@@ -238,6 +243,7 @@
         job_codec.JOB_KIND: JOB_PERIOD_S,
         schema.retirement_kind: VM_PERIOD_S,
         fleet_state.DAEMON_KIND: VM_PERIOD_S,
+        fleet_state.SOFTWARE_KIND: VM_PERIOD_S,
     }
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
@@ -6,6 +6,7 @@
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import job_run
 from chestnutshunt_daemon.jobs import job_runner
+from chestnutshunt_daemon.peers import origin_relay
 
 __all__ = ['dump']
 
@@ -14,6 +15,7 @@
     state: fleet_state.FleetState,
     holder: duty_holder.DutyHolder,
     runner: job_runner.JobRunner,
+    relay: origin_relay.OriginRelay,
 ) -> dict[str, Any]:
     """Return the daemon's state as JSON values; ages are in seconds."""
     deployment = state.deployment
@@ -68,6 +70,14 @@
             }
             for target in sorted(state.replicas.list_all(), key=lambda x: x.id)
         ],
+        'software': {
+            stored.name: stored.value
+            for stored in state.mirrors[fleet_state.SOFTWARE_KIND].values()
+        },
+        'streams': {
+            'known': len(state.origins.table),
+            'unsent': len(relay.unsent),
+        },
         'jobs': [dump_run(run) for run in list(runner.runs.values())],
         'usage': state.counts.own_totals(),
     }
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
@@ -53,6 +53,8 @@
         others; their product is the capacity of the VM.
     threads : int
         Callers' requests served concurrently; 0 chooses by the capacity.
+    first_start : bool
+        True only when the whole system starts for the first time.
     log_level : str
         Name of a level of the logging module.
     """
@@ -80,6 +82,7 @@
     threads: int = attrs.field(
         default=0, validator=settings.at_least(4, or_zero=True)
     )
+    first_start: bool = False
     log_level: str = attrs.field(
         default='INFO',
         validator=settings.one_of('DEBUG', 'INFO', 'WARNING', 'ERROR'),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -1,6 +1,7 @@
 """State that the parts of a daemon share."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import random
 import secrets
@@ -19,6 +20,10 @@
 from chestnutshunt.replicas import replica_view
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import kind_mirror
+from chestnutshunt.streams import origin_table
+from chestnutshunt.streams import software_history
+from chestnutshunt.streams import software_record
+from chestnutshunt.streams import stream_origin
 from chestnutshunt import system_clock
 from chestnutshunt.usage import window_counts
 from chestnutshunt.weights import model_demand
@@ -27,14 +32,18 @@
 from chestnutshunt_daemon.fleet import store_schema
 from chestnutshunt_daemon.fleet import topology_view
 from chestnutshunt_daemon.peers import peer_info
+from chestnutshunt_daemon.targets import stream_origins
 
-__all__ = ['DAEMON_KIND', 'FleetState']
+__all__ = ['DAEMON_KIND', 'SOFTWARE_KIND', 'FleetState']
 
 LOG = logging.getLogger(__name__)
 
 # Kind of the registrations by which daemons find each other.
 DAEMON_KIND = 'daemon'
 
+# Kind of the records of the software versions that targets run, by service.
+SOFTWARE_KIND = 'software'
+
 # Time between heartbeats to one peer, without the addition for each peer.
 HEARTBEAT_S = 0.4
 
@@ -91,6 +100,7 @@
             schema.retirement_kind,
             job_codec.JOB_KIND,
             DAEMON_KIND,
+            SOFTWARE_KIND,
         )
         self.mirrors = {
             kind: kind_mirror.KindMirror(kind, self.clock) for kind in kinds
@@ -115,6 +125,13 @@
         )
         self.rate_gate = rate_gate.RateGate(self.clock)
         self.replicas.may_send = self.rate_gate.allows
+        self.origins = stream_origins.StreamOrigins(
+            self.replicas,
+            origin_table.OriginTable(self.clock),
+            software_history.SoftwareHistory(self.clock),
+        )
+        self.origins.has_record = self.has_software_record
+        self.mirrors[SOFTWARE_KIND].listeners.append(self.recall_software)
         self.time = median_time.MedianTime(self.clock)
         self.counts = window_counts.WindowCounts(config.usage_window_s)
         self.quarantine = quarantine.Quarantine(self.clock)
@@ -176,6 +193,55 @@
             },
         )
 
+    def software_record(
+        self, service: str
+    ) -> software_record.SoftwareRecord | None:
+        """Return the record of the versions that targets of a service run.
+
+        A malformed one is logged and ignored.
+        """
+        stored = self.mirrors[SOFTWARE_KIND].get(service)
+        if stored is None:
+            return None
+        try:
+            return software_record.SoftwareRecord.decode(stored.value)
+        except (KeyError, TypeError, ValueError) as exc:
+            LOG.warning(
+                'Malformed record of software versions ignored',
+                extra={'service': service, 'error': repr(exc)},
+            )
+            return None
+
+    def has_software_record(self, services: Iterable[str]) -> bool:
+        """Return whether all versions that began streams are on record."""
+        now = self.time.now()
+        records = [self.software_record(service) for service in services]
+        return all(
+            record is not None and record.covers_all_streams(now)
+            for record in records
+        )
+
+    def recall_software(self) -> None:
+        """Take over the records of the versions that targets have run.
+
+        Versions that they name as in service have left only now, if they
+        have left at all.
+        """
+        now = self.clock.monotonic()
+        for stored in self.mirrors[SOFTWARE_KIND].values():
+            record = self.software_record(stored.name)
+            if record is None:
+                continue
+            ages_s = dict.fromkeys(record.present, 0.0) | {
+                software: max(self.time.now() - at, 0.0)
+                for software, at in record.left.items()
+            }
+            for software, age_s in ages_s.items():
+                self.origins.history.recall(
+                    stream_origin.StreamOrigin(stored.name, software),
+                    now - age_s,
+                )
+
     def config_age_s(self) -> float:
         """Return the seconds since the configuration was last confirmed."""
         return self.mirrors[self.schema.config_kind].age_s
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
@@ -10,11 +10,13 @@
 from chestnutshunt import errors
 from chestnutshunt.jobs import job_codec
 from chestnutshunt.store import object_store
+from chestnutshunt.streams import stream_origin
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import job_runner
 from chestnutshunt_daemon import peer_server
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.peers import heartbeat
+from chestnutshunt_daemon.peers import origin_relay
 from chestnutshunt_daemon.peers import permit_desk
 from chestnutshunt_daemon.peers import store_codec
 from chestnutshunt_daemon.wire import fleet_pb2
@@ -48,6 +50,8 @@
         Runs this daemon's jobs.
     desk : PermitDesk
         Issues permits for rate-limited targets.
+    relay : OriginRelay
+        Keeps and finds the origins of streams.
     """
 
     def __init__(
@@ -56,11 +60,13 @@
         store: object_store.ObjectStore,
         runner: 'job_runner.JobRunner',
         desk: permit_desk.PermitDesk,
+        relay: origin_relay.OriginRelay,
     ) -> None:
         self.state = state
         self.store = store
         self.runner = runner
         self.desk = desk
+        self.relay = relay
 
     def Sync(
         self, request: fleet_pb2.State, context: grpc.ServicerContext
@@ -165,6 +171,35 @@
             grants=[fleet_codec.encode_grant(grant) for grant in grants]
         )
 
+    def RecordOrigins(
+        self, request: fleet_pb2.StreamOrigins, context: grpc.ServicerContext
+    ) -> fleet_pb2.OriginsKept:
+        """Keep the origins of streams that peers began."""
+        origins = {
+            entry.request: stream_origin.StreamOrigin(
+                entry.service, entry.software
+            )
+            for entry in request.origins
+        }
+        self.relay.accept(origins, request.relayed)
+        return fleet_pb2.OriginsKept()
+
+    def FindOrigin(
+        self, request: fleet_pb2.OriginQuery, context: grpc.ServicerContext
+    ) -> fleet_pb2.OriginAnswer:
+        """Return the origin of a stream if it is known."""
+        origin = self.relay.find(request.request, request.relayed)
+        if origin is None:
+            return fleet_pb2.OriginAnswer(found=False)
+        return fleet_pb2.OriginAnswer(
+            found=True,
+            origin=fleet_pb2.StreamOrigin(
+                request=request.request,
+                service=origin.service,
+                software=origin.software,
+            ),
+        )
+
 
 @contextlib.contextmanager
 def fleet_server(service: FleetService, address: str) -> Iterator[grpc.Server]:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -33,6 +33,10 @@
 # the rate of requests.
 PERMIT_WAIT_RATIO = 0.2
 
+# Mean Retry-After for a stream of unknown origin: only a peer that could not
+# be asked may know it.
+UNKNOWN_ORIGIN_DELAY_S = 1.0
+
 EVENT_STREAM_TYPE = 'text/event-stream'
 
 
@@ -87,6 +91,8 @@
             may_send,
             last_event=request.position.last_event,
         )
+        if stream.is_taken_up:
+            self.find_origin(stream)
         stack = contextlib.ExitStack()
         try:
             response = self.connect(stream, stack)
@@ -98,6 +104,24 @@
             response.head, response.headers, chunks
         )
 
+    def find_origin(self, stream: stream_state.StreamState) -> None:
+        """Set the service and origin at which a taken-up stream goes on.
+
+        Raises
+        ------
+        NoTarget
+            It is not known which software version began the stream.
+        """
+        origin = self.state.origins.find(stream.request.position, stream.route)
+        if origin is None:
+            raise refusals.no_target(
+                'It is not known which software version began the stream.',
+                self.rng,
+                UNKNOWN_ORIGIN_DELAY_S,
+            )
+        stream.origin = origin
+        stream.service = origin.service
+
     def connect(
         self, stream: stream_state.StreamState, stack: contextlib.ExitStack
     ) -> target_response.TargetResponse:
@@ -169,7 +193,7 @@
         """Return the next target, waiting for a permit if all need one."""
         view = self.state.replicas
         wanted = (stream.service, stream.tried_ids, stream.origin)
-        target = view.choose(*wanted)
+        target = view.choose(*wanted, self.may_begin_at(stream))
         limited = view.candidates(*wanted)
         if target is None and limited:
             self.state.rate_gate.wait(
@@ -177,9 +201,23 @@
                 stream.request.id,
                 PERMIT_WAIT_RATIO * stream.route.goal_s,
             )
-            target = view.choose(*wanted)
+            target = view.choose(*wanted, self.may_begin_at(stream))
         return target
 
+    def may_begin_at(
+        self, stream: stream_state.StreamState
+    ) -> Callable[[replica.Replica], bool]:
+        """Return a function that tells which targets are preferred.
+
+        A resumable stream begins at a software version that all daemons
+        know, if one serves: a daemon that does not know the version could go
+        on with the stream at another one.
+        """
+        if stream.origin is not None or not stream.route.resumable:
+            return lambda target: True
+        history = self.state.origins.history
+        return lambda target: history.is_settled(target.origin)
+
     def attempt(
         self,
         stream: stream_state.StreamState,
@@ -292,11 +330,18 @@
                 ):
                     raise ValueError(f'Event {event.id} was repeated.')
                 stream.last_event = event.id
-                stream.origin = stream.target.origin
+                if stream.origin is None:
+                    self.note_origin(stream)
                 yield event.raw
         if reader.buffer.strip():
             raise ValueError('The stream ends inside an event.')
 
+    def note_origin(self, stream: stream_state.StreamState) -> None:
+        """Record the origin of a stream when its first event arrives."""
+        stream.origin = stream.target.origin
+        if stream.route.resumable:
+            self.state.origins.begin(stream.request.id, stream.origin)
+
     def record_failure(
         self,
         stream: stream_state.StreamState,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
@@ -51,3 +51,11 @@
     last_event: int | None = None
     origin: stream_origin.StreamOrigin | None = None
     target: replica.Replica | None = None
+
+    @property
+    def is_taken_up(self) -> bool:
+        """True if the caller goes on with a stream that it had begun."""
+        return (
+            self.route.resumable
+            and self.request.position.last_event is not None
+        )
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -271,6 +271,7 @@
         service: str,
         excluded: Collection[str] = (),
         origin: stream_origin.StreamOrigin | None = None,
+        prefers: Callable[[replica.Replica], bool] | None = None,
     ) -> replica.Replica | None:
         """Return the target for a request, ``None`` if there is none.
 
@@ -284,10 +285,13 @@
             Ids of targets that are not to be used.
         origin : StreamOrigin, optional
             The only suitable origin, to go on with a stream; any by default.
+        prefers : callable, optional
+            Tells which targets are used before the others.
         """
-        allowed = filter(
-            self.may_send, self.candidates(service, excluded, origin)
-        )
+        candidates = self.candidates(service, excluded, origin)
+        if prefers is not None:
+            candidates = list(filter(prefers, candidates)) or candidates
+        allowed = filter(self.may_send, candidates)
         return min(allowed, key=self.cost, default=None)
 
     def candidates(
@@ -298,8 +302,8 @@
     ) -> list[replica.Replica]:
         """Return the targets for a request, whether or not one is allowed.
 
-        These are the healthy ones, or all if none is healthy. Takes the
-        parameters of `choose`.
+        These are the healthy ones, or all if none is healthy. The parameters
+        are those of `choose`.
         """
         serving = [
             item
--- /dev/null
+++ b/packages/chestnutshunt/chestnutshunt/streams/origin_table.py
@@ -0,0 +1,58 @@
+"""Origins of the streams that callers may take up again."""
+
+import threading
+
+from chestnutshunt import clock
+from chestnutshunt.streams import stream_origin
+
+__all__ = ['ORIGIN_TTL_S', 'OriginTable']
+
+# Longest time for which a caller may take a stream up again.
+ORIGIN_TTL_S = 60.0
+
+MAX_STREAM_COUNT = 100_000
+
+
+class OriginTable:
+    """Keeps the origin of each stream by the request that began it.
+
+    Thread-safe.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock for the age of entries.
+    """
+
+    def __init__(self, clock: clock.Clock) -> None:
+        self.clock = clock
+        self.entries: dict[str, tuple[float, stream_origin.StreamOrigin]] = {}
+        self.lock = threading.Lock()
+
+    def record(
+        self, request_id: str, origin: stream_origin.StreamOrigin
+    ) -> None:
+        """Record the origin of a stream, or that it is still in use."""
+        now = self.clock.monotonic()
+        with self.lock:
+            # The entries stay in the order of their last use.
+            self.entries.pop(request_id, None)
+            self.entries[request_id] = (now, origin)
+            oldest_at = now - ORIGIN_TTL_S
+            while self.entries:
+                first = next(iter(self.entries))
+                expired = self.entries[first][0] < oldest_at
+                if not expired and len(self.entries) <= MAX_STREAM_COUNT:
+                    break
+                del self.entries[first]
+
+    def find(self, request_id: str) -> stream_origin.StreamOrigin | None:
+        """Return the origin of a stream, ``None`` if it is not known."""
+        with self.lock:
+            recorded_at, origin = self.entries.get(request_id, (0.0, None))
+        if self.clock.monotonic() - recorded_at > ORIGIN_TTL_S:
+            return None
+        return origin
+
+    def __len__(self) -> int:
+        return len(self.entries)
