Make the scoring call of an item also after targets crashed under it

An item of a trainer's step was never listed although all was calm and targets had room, after a burst of crashes (reported from a system like ours).

Cause: scoring calls went through the quarantine of requests that crash targets. Two crashes more than 0.25 s apart under one call, and every further try was refused for an hour, by all daemons, as peers are told. Items themselves never passed the quarantine; a test that fails three targets under one item now says so. Work accepted for later is neither refused nor counted by the quarantine.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -422,7 +422,11 @@
         )
         try:
             return self.forwarder.forward(
-                request, route, token, lambda: not run.ended.is_set()
+                request,
+                route,
+                token,
+                lambda: not run.ended.is_set(),
+                is_owed=True,
             )
         except cancel_token.CallerLeft:
             raise
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forward_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forward_state.py
@@ -29,6 +29,8 @@
         Is cancelled when the caller disconnects.
     started_at : float
         Monotonic time in seconds at which forwarding began.
+    is_owed : bool
+        True if the request belongs to work that has been accepted for later.
     sent_at : float
         Monotonic time in seconds of the last attempt; also set to postpone
         the next one.
@@ -51,6 +53,7 @@
     digest: str
     cancel_token: cancel_token.CancelToken
     started_at: float
+    is_owed: bool = False
     sent_at: float = 0.0
     open_exchanges: list[open_exchange.OpenExchange] = attrs.field(
         factory=list
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -77,6 +77,7 @@
         route: route.Route,
         token: cancel_token.CancelToken,
         may_send: Callable[[], bool],
+        is_owed: bool = False,
     ) -> forwarded_response.ForwardedResponse:
         """Return the complete response of a target.
 
@@ -91,6 +92,9 @@
         may_send : callable
             Called before each attempt; tells whether the request is still
             allowed.
+        is_owed : bool, optional
+            Whether the request belongs to work that has been accepted for
+            later. It is never taken for the cause of crashes.
 
         Raises
         ------
@@ -102,7 +106,7 @@
             The caller disconnected.
         """
         digest = request_digest(request)
-        if self.state.quarantine.refuses(digest):
+        if not is_owed and self.state.quarantine.refuses(digest):
             raise errors.Quarantined('The request has crashed targets.')
         pending = forward_state.ForwardState(
             request=request,
@@ -111,6 +115,7 @@
             digest=digest,
             cancel_token=token,
             started_at=self.state.clock.monotonic(),
+            is_owed=is_owed,
         )
         try:
             while True:
@@ -162,7 +167,9 @@
         """Return the target of the next attempt, ``None`` if there is none."""
         if pending.may_have_run and not pending.is_idempotent:
             return None
-        if self.state.quarantine.refuses(pending.digest):
+        if not pending.is_owed and self.state.quarantine.refuses(
+            pending.digest
+        ):
             return None
         view = self.state.replicas
         if len(pending.reached_ids) < pending.route.max_attempts:
@@ -350,7 +357,7 @@
             pending.unavailable_ids.add(target.id)
             return
         pending.reached_ids.add(target.id)
-        if exc.crashed:
+        if exc.crashed and not pending.is_owed:
             self.state.quarantine.record_crash(
                 pending.digest, target.start_key
             )
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -21,6 +21,8 @@
 from chestnutshunt.store import memory_store
 from chestnutshunt_daemon.jobs import item_runner
 from chestnutshunt_daemon.jobs import job_runner
+from chestnutshunt_daemon.targets import forwarder
+from chestnutshunt_daemon.targets import target_request
 from tests import fake_target
 from tests import fleet_parts
 
@@ -79,6 +81,7 @@
         self.state = fleet_parts.make_state()
         self.state.deployment = make_deployment(**fields)
         self.targets = []
+        self.fakes = []
         forwards = fleet_parts.make_forwarder(self.state)
         items = item_runner.ItemRunner(
             self.state, forwards.exchanger, forwards, random.Random(1)
@@ -90,6 +93,7 @@
 
     def add(self, name, *script, kind='model', versions=None, software=''):
         target = fake_target.FakeTarget(name, *script)
+        self.fakes.append(target)
         self.stack.callback(target.close)
         versions = {'m': 5} if versions is None else versions
         self.targets.append(
@@ -499,3 +503,36 @@
     assert demand.waiting == 3
     assert demand.needed_version == 5
     assert demand.items > 0
+
+
+# Guards against items that are never placed again: crashes of targets under an
+# item's scoring call made it a request that crashes targets, for an hour.
+def test_scoring_call_under_which_targets_crashed_is_still_made(stack):
+    harness = Harness(stack)
+    harness.add('t1', COMPLETE_STREAM)
+    harness.add('t2', fake_target.respond(signature='42'), kind='score')
+    new_job = make_job(scored=True)
+    call = new_job.items[0].scoring
+    request = target_request.TargetRequest(
+        call.id, 'POST', call.path, call.host, (), call.body, '', 0.0
+    )
+    digest = forwarder.request_digest(request)
+    for age_s in (30.0, 20.0, 10.0):
+        harness.state.quarantine.record_crash(digest, f'c{age_s}', age_s)
+    assert harness.state.quarantine.refuses(digest)
+    (listed,) = harness.results(new_job)
+    assert listed.score == '42'
+
+
+# Guards against items that are never placed again: several targets died while
+# they ran the same item.
+def test_item_under_which_targets_crashed_is_still_placed(stack):
+    harness = Harness(stack)
+    for number in range(3):
+        harness.add(f'c{number}', fake_target.drop)
+    run = harness.run(make_job(count=1))
+    wait_until(lambda: all(x.heads for x in harness.fakes))
+    harness.targets.clear()
+    harness.add('t1', COMPLETE_STREAM)
+    wait_until(lambda: run.is_done)
+    assert run.result_log.results[0].complete
