Probe ejected targets with items when no other target is left

Items could wait up to 30 s although targets worked again (found while looking into the report of items that are never placed again after a burst of crashes).

Cause: an item goes only to healthy targets. If all with suitable weights are ejected, none gets an item until its ejection ends, so none can show that it works again; each ejection in a row is twice as long. Requests of callers fall back to ejected targets. Items now do so with one probe a second for each such target, and a success after a probe ends the ejection.

Evidence: the new test failed before (an item not placed in 20 s at a working target that was ejected for 30 s).

--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -323,7 +323,9 @@
         avoided: str = '',
         origin: stream_origin.StreamOrigin | None = None,
     ) -> replica.Replica | None:
-        """Return a healthy target with a free slot and suitable weights.
+        """Return a target with a free slot and suitable weights.
+
+        If all with suitable weights are ejected, each is probed now and then.
 
         Parameters
         ----------
@@ -369,17 +371,24 @@
         """Return the targets of which `choose_engine` returns one.
 
         Those to which no request may be sent now because of their rate limit
-        are included.
+        are included. If all targets with suitable weights are ejected, these
+        are the ones that may be probed.
         """
         now = self.clock.monotonic()
-        return [
+        suitable = [
             item
             for item in self.serving(service)
-            if self.is_healthy(item)
-            and self.state(item).full_until <= now
+            if self.has_version(item, model, minimum, exact)
+        ]
+        usable = [item for item in suitable if self.is_healthy(item)] or [
+            item for item in suitable if self.state(item).breaker.may_probe()
+        ]
+        return [
+            item
+            for item in usable
+            if self.state(item).full_until <= now
             and self.state(item).loading_until <= now
             and self.load(item) < item.slots
-            and self.has_version(item, model, minimum, exact)
         ]
 
     def has_version(
@@ -461,6 +470,7 @@
         """Count a request that this daemon sends to a target."""
         with self.lock:
             self.state(target).running += 1
+            self.state(target).breaker.record_probe()
 
     def end_request(self, target: replica.Replica) -> None:
         """Count the end of a request at a target."""
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -536,3 +536,16 @@
     harness.add('t1', COMPLETE_STREAM)
     wait_until(lambda: run.is_done)
     assert run.result_log.results[0].complete
+
+
+# Guards against items that are never placed again: after a burst of failures
+# all targets were ejected for up to 30 s, and none was used until then.
+def test_item_is_placed_although_all_targets_were_ejected(stack):
+    harness = Harness(stack)
+    harness.add('t1', COMPLETE_STREAM)
+    (target,) = harness.targets
+    breaker = harness.state.replicas.state(target).breaker
+    breaker.ejected_until = harness.state.clock.monotonic() + 30.0
+    (listed,) = harness.results(make_job(count=1))
+    assert listed.complete
+    assert breaker.allows_requests()
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -67,3 +67,23 @@
     lines = [(x.msg, x.target) for x in caplog.records]
     assert lines == [('Target ejected', 't1'), ('Target works again', 't1')]
     assert caplog.records[0].seconds == breaker.FIRST_EJECTION_S
+
+
+def test_a_probe_that_succeeds_ends_an_ejection(target_breaker):
+    fail(target_breaker)
+    target_breaker.record_success()
+    assert not target_breaker.allows_requests()
+    assert target_breaker.may_probe()
+    target_breaker.record_probe()
+    assert not target_breaker.may_probe()
+    target_breaker.record_success()
+    assert target_breaker.allows_requests()
+
+
+def test_a_probe_that_fails_ends_no_ejection(target_breaker):
+    fail(target_breaker)
+    target_breaker.record_probe()
+    target_breaker.record_failure()
+    assert ejected_s(target_breaker) == breaker.FIRST_EJECTION_S
+    target_breaker.clock.advance(breaker.PROBE_PERIOD_S)
+    assert target_breaker.may_probe()
