--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -14,11 +14,11 @@
 from chestnutshunt.jobs import job
 from chestnutshunt.jobs import job_codec
 from chestnutshunt.jobs import job_page
-from chestnutshunt.replicas import replica
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
 from chestnutshunt.weights import model_demand
 from chestnutshunt_daemon.fleet import fleet_state
+from chestnutshunt_daemon.jobs import item_placement
 from chestnutshunt_daemon.jobs import item_runner
 from chestnutshunt_daemon.jobs import job_run
 from chestnutshunt_daemon.peers import peer_info
@@ -52,10 +52,6 @@
 # Running items that a daemon with one core can serve.
 SLOTS_PER_CORE = 100
 
-# Longest wait for a free slot at a target of the origin of a text; then the
-# item starts over at another.
-MAX_BLOCKED_S = 1.0
-
 # Items that one daemon runs concurrently; each thread takes about 60 KB.
 MAX_RUNNING_ITEMS_COUNT = 160
 
@@ -91,6 +87,7 @@
         self.state = state
         self.store = store
         self.item_runner = item_runner
+        self.placement = item_placement.ItemPlacement(state)
         self.runs: dict[str, job_run.JobRun] = {}
         self.ended_at: dict[str, float] = {}
         self.orphaned_since: dict[str, float] = {}
@@ -234,7 +231,7 @@
             # It may wait for certain targets only, and the next one not.
             blocked_count += 1
         if blocked_count:
-            self.want_permits(run, route, blocked_count)
+            self.placement.want_permits(run, route, blocked_count)
 
     def start_item(
         self,
@@ -245,7 +242,7 @@
         """Start an item; return False if no target has a free slot."""
         slot = None
         if not entry.text_complete:
-            target = self.choose_target(run, entry, route)
+            target = self.placement.choose_target(run, entry, route)
             if target is None:
                 return False
             slot = target_slot.TargetSlot(self.state.replicas, target)
@@ -256,102 +253,6 @@
         self.pool.submit(self.item_runner.run, run, entry, route, slot)
         return True
 
-    def want_permits(
-        self, run: job_run.JobRun, route: route.Route, count: int
-    ) -> None:
-        """Ask for permits to start items at targets that limit their rate.
-
-        Parameters
-        ----------
-        run : JobRun
-            Job whose items wait.
-        route : Route
-            Route of the job.
-        count : int
-            Number of items that wait.
-        """
-        view = self.state.replicas
-        gate = self.state.rate_gate
-        limited = [
-            target
-            for target in view.free_engines(
-                route.service_for(0.0), run.job.model, run.job.minimum_version
-            )
-            if gate.is_limited(target)
-        ]
-        for target in sorted(limited, key=view.cost):
-            wanted = min(count, target.slots - view.load(target))
-            if wanted <= 0:
-                break
-            gate.want(target, run.job.id, wanted)
-            count -= wanted
-
-    def choose_target(
-        self,
-        run: job_run.JobRun,
-        entry: item_state.ItemState,
-        route: route.Route,
-    ) -> replica.Replica | None:
-        """Return the target for an item, ``None`` if none has a slot."""
-        exact_version = None
-        service = route.service_for(0.0)
-        if route.single_version and entry.versions:
-            exact_version = entry.versions[0]
-            if not self.is_loaded(service, run.job.model, exact_version):
-                entry.reset()
-                exact_version = None
-        target = self.choose_engine(run, entry, service, exact_version)
-        if target is not None:
-            entry.blocked_since = 0.0
-        elif entry.texts and self.is_blocked(service, entry):
-            # The item starts over at a target of another origin.
-            target = self.choose_engine(run, entry, service, None, False)
-        return target
-
-    def choose_engine(
-        self,
-        run: job_run.JobRun,
-        entry: item_state.ItemState,
-        service: str,
-        exact_version: int | None,
-        goes_on: bool = True,
-    ) -> replica.Replica | None:
-        """Return the target for an item, ``None`` if none has a slot.
-
-        A text goes on only at a target of its origin, unless `goes_on` is
-        False.
-        """
-        return self.state.replicas.choose_engine(
-            service,
-            run.job.model,
-            run.job.minimum_version,
-            run.group_targets.get(entry.item.prompt_group, ()),
-            exact_version,
-            entry.avoided_target,
-            entry.origin if goes_on else None,
-        )
-
-    def is_blocked(self, service: str, entry: item_state.ItemState) -> bool:
-        """Return whether a text has waited too long for its origin.
-
-        That is at once if no target of that origin serves, else after
-        `MAX_BLOCKED_S`.
-        """
-        serving = self.state.replicas.serving(service)
-        if not any(item.origin == entry.origin for item in serving):
-            return True
-        now = self.state.clock.monotonic()
-        entry.blocked_since = entry.blocked_since or now
-        return now - entry.blocked_since > MAX_BLOCKED_S
-
-    def is_loaded(self, service: str, model: str, version: int) -> bool:
-        """Return whether any target has loaded exactly this weight version."""
-        view = self.state.replicas
-        return any(
-            view.has_version(target, model, version, version)
-            for target in view.serving(service)
-        )
-
     def give_up_without_route(
         self, run: job_run.JobRun, startable: list[item_state.ItemState]
     ) -> None:
