Count threads of the fuzz tests once all listeners have started

The failure now prints the threads by name: 81, of which 68 are workers of the two HTTP listeners, as many as in a daemon that has just started. The number at the start was 25: it was taken from the admin listener while the listener for callers was still starting its 64 workers. The two tests share one daemon, and the first of them to run counts; that was the second one, since the first is passed over.

The number is now taken after a first request of a caller has been served, which is after all workers have started.

--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -120,10 +120,20 @@
     return answer
 
 
+def threads_after_start(deployment):
+    """Return the number of threads once all listeners have started theirs.
+
+    The listener for callers serves its first request only after that.
+    """
+    daemon = deployment.daemons[0]
+    assert daemon.call('/s/orders/look', b'x', deployment.token).status == 200
+    return daemon.dump()['threads']
+
+
 def test_malformed_requests(deployment):
     rng = random.Random(SEED)
     daemon = deployment.daemons[0]
-    threads = daemon.dump()['threads']
+    threads = threads_after_start(deployment)
     secret = deployment.token.rsplit('.', 1)[1].encode()
     for number in range(HTTP_CASE_COUNT):
         data = make_request(rng, deployment.token)
@@ -136,7 +146,7 @@
 def test_malformed_messages_of_peers(deployment):
     rng = random.Random(SEED + 1)
     daemon = deployment.daemons[0]
-    threads = daemon.dump()['threads']
+    threads = threads_after_start(deployment)
     with grpc.insecure_channel(daemon.peer) as channel:
         for number in range(PEER_CASE_COUNT):
             name = rng.choice(PEER_CALLS)
