--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -36,8 +36,8 @@
 from chestnutshunt_daemon.peers import fleet_mesh
 from chestnutshunt_daemon.peers import fleet_service
 from chestnutshunt_daemon.peers import origin_relay
+from chestnutshunt_daemon.peers import permit_broker
 from chestnutshunt_daemon.peers import permit_client
-from chestnutshunt_daemon.peers import permit_desk
 from chestnutshunt_daemon.peers import relayed_store
 from chestnutshunt_daemon import supervised_thread
 from chestnutshunt_daemon.targets import exchange
@@ -157,9 +157,9 @@
         watch.start()
         stack.callback(watch.stop)
         relay = origin_relay.OriginRelay(state, clients)
-        desk = permit_desk.PermitDesk(state, clients)
+        broker = permit_broker.PermitBroker(state, clients)
         service = fleet_service.FleetService(
-            state, adapter.store, runner, desk, relay
+            state, adapter.store, runner, broker, relay
         )
         stack.enter_context(
             fleet_service.fleet_server(service, config.peer_address)
@@ -168,7 +168,7 @@
             'mesh': mesh.run,
             'pulls': mesh.run_pulls,
             'leaf-links': mesh.leaf_links.run,
-            'permits': permit_client.PermitClient(state, clients, desk).run,
+            'permits': permit_client.PermitClient(state, clients, broker).run,
             'origins': relay.run,
             'duties': holder.run,
             'dispatch': runner.dispatch,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
@@ -17,7 +17,7 @@
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.peers import heartbeat
 from chestnutshunt_daemon.peers import origin_relay
-from chestnutshunt_daemon.peers import permit_desk
+from chestnutshunt_daemon.peers import permit_broker
 from chestnutshunt_daemon.peers import store_codec
 from chestnutshunt_daemon.wire import fleet_pb2
 from chestnutshunt_daemon.wire import fleet_pb2_grpc
@@ -48,7 +48,7 @@
         The store, called directly and not through a peer.
     runner : JobRunner
         Runs this daemon's jobs.
-    desk : PermitDesk
+    broker : PermitBroker
         Issues permits for rate-limited targets.
     relay : OriginRelay
         Keeps and finds the origins of streams.
@@ -59,13 +59,13 @@
         state: fleet_state.FleetState,
         store: object_store.ObjectStore,
         runner: 'job_runner.JobRunner',
-        desk: permit_desk.PermitDesk,
+        broker: permit_broker.PermitBroker,
         relay: origin_relay.OriginRelay,
     ) -> None:
         self.state = state
         self.store = store
         self.runner = runner
-        self.desk = desk
+        self.broker = broker
         self.relay = relay
 
     def Sync(
@@ -166,7 +166,7 @@
     ) -> fleet_pb2.PermitReply:
         """Issue permits for requests to rate-limited targets."""
         wants = [fleet_codec.decode_want(want) for want in request.wants]
-        grants = self.desk.issue(wants, request.relayed)
+        grants = self.broker.issue(wants, request.relayed)
         return fleet_pb2.PermitReply(
             grants=[fleet_codec.encode_grant(grant) for grant in grants]
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/permit_desk.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/permit_broker.py
@@ -18,7 +18,7 @@
 from chestnutshunt_daemon.peers import fleet_codec
 from chestnutshunt_daemon.wire import fleet_pb2
 
-__all__ = ['PermitDesk', 'call_issuer']
+__all__ = ['PermitBroker', 'call_issuer']
 
 LOG = logging.getLogger(__name__)
 
@@ -33,7 +33,7 @@
 SETTLE_S = 1.5
 
 
-class PermitDesk:
+class PermitBroker:
     """Issues permits, or has them issued by the hub that is the issuer.
 
     Parameters
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/permit_client.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/permit_client.py
@@ -3,7 +3,7 @@
 from chestnutshunt.routing import rendezvous
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon import peer_clients
-from chestnutshunt_daemon.peers import permit_desk
+from chestnutshunt_daemon.peers import permit_broker
 
 __all__ = ['PermitClient']
 
@@ -27,7 +27,7 @@
         Shared state of this daemon.
     clients : PeerClients
         Channels to peers.
-    desk : PermitDesk
+    broker : PermitBroker
         Issues permits if this daemon is a hub.
     """
 
@@ -35,11 +35,11 @@
         self,
         state: fleet_state.FleetState,
         clients: peer_clients.PeerClients,
-        desk: permit_desk.PermitDesk,
+        broker: permit_broker.PermitBroker,
     ) -> None:
         self.state = state
         self.clients = clients
-        self.desk = desk
+        self.broker = broker
 
     def run(self) -> None:
         """Fetch permits until this daemon stops."""
@@ -65,10 +65,10 @@
         called_at = self.state.clock.monotonic()
         current = self.state.topology.current
         if current.is_hub or not current.hubs:
-            grants = self.desk.issue(wants)
+            grants = self.broker.issue(wants)
         else:
             name = rendezvous.rank(self.state.config.name, current.hubs)[0]
-            grants = permit_desk.call_issuer(
+            grants = permit_broker.call_issuer(
                 self.clients, current.hubs[name].address, wants, relayed=False
             )
         gate.accept(grants, called_at)
--- a/tests/load/test_rate_limits.py
+++ b/tests/load/test_rate_limits.py
@@ -11,8 +11,8 @@
 
 from chestnutshunt.replicas import replica
 from chestnutshunt_daemon.peers import fleet_service
+from chestnutshunt_daemon.peers import permit_broker
 from chestnutshunt_daemon.peers import permit_client
-from chestnutshunt_daemon.peers import permit_desk
 from tests.peers import test_hubs
 
 WINDOW_S = 4.0
@@ -28,7 +28,7 @@
 
 
 class DirectClients:
-    """Calls the desks of other daemons without a network."""
+    """Calls the brokers of other daemons without a network."""
 
     def __init__(self, fleet, name):
         self.fleet = fleet
@@ -68,12 +68,12 @@
         self.permit_clients = {}
         for name, state in self.states.items():
             clients = DirectClients(self, name)
-            desk = permit_desk.PermitDesk(state, clients)
+            broker = permit_broker.PermitBroker(state, clients)
             self.services[name] = fleet_service.FleetService(
-                state, None, None, desk, None
+                state, None, None, broker, None
             )
             self.permit_clients[name] = permit_client.PermitClient(
-                state, clients, desk
+                state, clients, broker
             )
 
     def is_cut(self, one, other):
