--- a/review/rig.py
+++ b/review/rig.py
@@ -286,6 +286,8 @@
     ----------
     duty_calls : list of tuple
         Time, path, holder, fencing token and body of each call.
+    changed_at : dict of str to float
+        Time of the last accepted write, by kind.
     """
 
     def __init__(self, record: Record) -> None:
@@ -294,6 +296,7 @@
         self.objects: dict[str, dict[str, dict]] = {}
         self.store_lock = threading.Lock()
         self.duty_calls: list[tuple[float, str, str, int, Any]] = []
+        self.changed_at: dict[str, float] = {}
         super().__init__()
 
     def put(self, kind: str, name: str, spec: Any) -> int:
@@ -333,9 +336,12 @@
                 pair.split('=', 1) for pair in query.split('&') if pair
             )
             with self.store_lock:
+                before = self.revision
                 status, answer = self.call(
                     request.method, parts[2], parts[3:], fields, value
                 )
+                if self.revision > before:
+                    self.changed_at[parts[2]] = time.monotonic()
         body = json.dumps(answer).encode()
         connection.send(status, {'Content-Type': 'application/json'}, body)
 
