--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 EVENT_S = 0.04
 REPLICA_COUNT = 7
 CLIENT_COUNT = 40
-STREAM_COUNT = 55
+STREAM_COUNT = 85
 
 # Length of the pages' `srv_grey`, and the time between two of them. One of
 # seven replicas fails two of five requests.
@@ -129,7 +129,7 @@
             target=fail_in_turn, args=(replicas[0], ended)
         )
         failing.start()
-        work.append(functools.partial(crash_in_turn, site, replicas[1:] * 2))
+        work.append(functools.partial(crash_in_turn, site, replicas[1:] * 3))
     parts.run_all(work)
     ended.set()
     site.record.add('summary', short=len(short), streams=short)
