Review case 2: an endless body fills the memory of daemons

Cause: the body of an answer to an item that is not 200 is read whole, after the bounds of the socket have been lifted.

Change: a script that shows it.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,9 @@
-"""A resumed stream that a replica answers with a 500; see ``claim.txt``."""
+"""Bytes without end in the answer to an item; see ``claim.txt``."""
 
-import functools
+import base64
+import json
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -13,127 +15,193 @@
 import rig  # noqa: E402
 
 EVENT_COUNT = 25
-EVENT_S = 0.04
+EVENT_S = 0.05
 REPLICA_COUNT = 7
-CLIENT_COUNT = 40
-STREAM_COUNT = 85
-
-# Length of the pages' `srv_grey`, and the time between two of them. One of
-# seven replicas fails two of five requests.
-FAILING_S = 6.5
+JOB_PERIOD_S = 4.0
+GROUP_COUNT = 24
+GROUP_SIZE = 4
+TRAFFIC_S = 90.0
+QUIET_S = 25.0
+
+# `memoryMb` of the site's front machines, and the time after which the
+# platform starts a process again.
+MEMORY_MB = 300
+RESTART_S = 1.0
+
+# One of seven replicas is in trouble, for the length of the pages'
+# `srv_grey`, again and again.
+TROUBLE_S = 6.5
 SOUND_S = 1.0
 
-# Length of the pages' `srv_crash`; one of seven replicas.
-CRASH_S = 4.5
+# What the replica in trouble sends: well below a link of 1,000 Mbit/s.
+BLOCK = b'10000\r\n' + b'?' * 65536 + b'\r\n'
+BLOCKS_PER_S = 1200
+
+# The rule: two machines at least, three ends on each.
+MACHINE_COUNT = 2
+END_COUNT = 3
 
-# Start and end of the traffic are left alone.
-FIRST_CRASH_S = 2.0
-CRASH_PERIOD_S = 5.0
+ROLLOUT_ROUTE = parts.route(
+    'rollout',
+    name='route-roll',
+    pathPrefix='/roll/',
+    timeoutMs=10000,
+    dueMs=7500,
+    itemTtlS=40,
+    maxAttempts=3,
+)
 
 
-class StreamReplica(parts.Replica):
-    """A replica that streams events and resumes after `Last-Event-Id`."""
+class ItemReplica(parts.Replica):
+    """A replica that streams the events of items."""
 
-    fails = False
+    in_trouble = False
 
     def run(self, request: rig.Request, connection: rig.Connection) -> None:
-        """Stream the events, or fail with the replica's own 500."""
+        """Stream the events, or fail with a body that does not end."""
         self.note_run(request)
-        if self.fails and len(self.ran) % 5 in (0, 2):
-            self.site.record.add('500', replica=self.id, request=request.id)
-            connection.send(500, self.headers(request))
-            return
-        first = int(request.headers.get('last-event-id', '0')) + 1
+        status = '500 Internal Server Error' if self.in_trouble else '200 OK'
         fields = {
             **self.headers(request),
             'Content-Type': 'text/event-stream',
             'Transfer-Encoding': 'chunked',
         }
         lines = ''.join(f'{key}: {value}\r\n' for key, value in fields.items())
-        connection.sock.sendall(f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode())
+        connection.sock.sendall(f'HTTP/1.1 {status}\r\n{lines}\r\n'.encode())
+        if self.in_trouble:
+            self.send_without_end(request, connection)
+            return
+        first = int(request.headers.get('last-event-id', '0')) + 1
         for number in range(first, EVENT_COUNT + 1):
             time.sleep(EVENT_S)
             event = f'id: {number}\ndata: {request.id}/{number}\n\n'.encode()
             connection.sock.sendall(b'%x\r\n%s\r\n' % (len(event), event))
         connection.sock.sendall(b'0\r\n\r\n')
 
+    def send_without_end(
+        self, request: rig.Request, connection: rig.Connection
+    ) -> None:
+        """Send bytes until the caller closes."""
+        count = 0
+        try:
+            while True:
+                connection.sock.sendall(BLOCK)
+                count += 1
+                time.sleep(self.running / BLOCKS_PER_S)
+        finally:
+            self.site.record.add(
+                'endless body',
+                replica=self.id,
+                request=request.id,
+                megabytes=count // 16,
+            )
+
 
-def read_streams(site: rig.Site, number: int, short: list[str]) -> None:
-    """Read streams; add those that end as complete too early to a list."""
-    daemon = site.daemons[number % len(site.daemons)]
-    for count in range(STREAM_COUNT):
-        request_id = f'stream-{number}-{count}'
-        outcome = 'broken off'
-        body = b''
+class MemoryLimit(threading.Thread):
+    """Kills daemons that use too much memory, and starts them again.
+
+    Parameters
+    ----------
+    site : Site
+        Where the daemons run.
+    """
+
+    def __init__(self, site: rig.Site) -> None:
+        super().__init__(daemon=True)
+        self.site = site
+        self.ended = threading.Event()
+        self.kills = {daemon.name: 0 for daemon in site.daemons}
+        self.most_mb = 0
+
+    def run(self) -> None:
+        """Look at the daemons' memory until the case ends."""
+        while not self.ended.wait(0.05):
+            for daemon in self.site.daemons:
+                memory_mb = resident_mb(daemon.child.pid)
+                self.most_mb = max(self.most_mb, memory_mb)
+                if memory_mb > MEMORY_MB:
+                    self.kills[daemon.name] += 1
+                    self.site.record.add(
+                        'over memory', daemon=daemon.name, mb=memory_mb
+                    )
+                    daemon.signal(signal.SIGKILL)
+                    daemon.child.wait(10)
+                    time.sleep(RESTART_S)
+                    daemon.start()
+
+
+def resident_mb(pid: int) -> int:
+    """Return the resident memory of a process in megabytes."""
+    for line in pathlib.Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) // 1024
+    return 0
+
+
+def submit(site: rig.Site, number: int) -> None:
+    """Submit a batch job, at another daemon after a failure."""
+    job_id = f'job-{number}'
+    items = [
+        {
+            'id': f'{job_id}-{group}-{member}',
+            'path': f'/roll/{job_id}/{group}/{member}',
+            'headers': {'X-Model': 'model-a', 'X-Token-Count': '540,400'},
+            'body': base64.b64encode(b'b' * 600).decode(),
+            'tokens': 940,
+            'group': f'{job_id}-{group}',
+        }
+        for group in range(GROUP_COUNT)
+        for member in range(GROUP_SIZE)
+    ]
+    headers = rig.client_headers(job_id) | {'Content-Type': 'application/json'}
+    body = json.dumps({'items': items}).encode()
+    for daemon in site.daemons:
+        status = 0
         try:
-            status, _, body = rig.call(
-                daemon.caller,
-                'POST',
-                parts.PREFIX + 'stream',
-                rig.client_headers(request_id, 10000),
-                b'a' * 600,
-                timeout_s=10.0,
+            status, _, _ = rig.call(
+                daemon.caller, 'POST', '/roll/x', headers, body
             )
-            outcome = 'complete' if status == 200 else f'status {status}'
         except (rig.Closed, OSError, ValueError):
             pass
-        events = body.count(b'\n\n')
-        site.record.add(
-            'answer', request=request_id, outcome=outcome, events=events
-        )
-        if outcome == 'complete' and events < EVENT_COUNT:
-            short.append(request_id)
-
-
-def crash_in_turn(site: rig.Site, replicas: list[StreamReplica]) -> None:
-    """Crash one replica after the other, each for a while."""
-    time.sleep(FIRST_CRASH_S)
-    for replica in replicas:
-        replica.crash()
-        time.sleep(CRASH_S)
-        replica.restart()
-        time.sleep(CRASH_PERIOD_S - CRASH_S)
-
-
-def fail_in_turn(replica: StreamReplica, ended: threading.Event) -> None:
-    """Make a replica fail part of its requests, again and again."""
+        site.record.add('submitted', job=job_id, status=status)
+        if status == 202:
+            return
+
+
+def trouble_in_turn(replica: ItemReplica, ended: threading.Event) -> None:
+    """Bring a replica into trouble again and again."""
     while not ended.is_set():
-        replica.fails = True
-        ended.wait(FAILING_S)
-        replica.fails = False
+        replica.in_trouble = True
+        ended.wait(TROUBLE_S)
+        replica.in_trouble = False
         ended.wait(SOUND_S)
 
 
 def case(site: rig.Site, trouble: bool) -> bool:
-    """Return whether no stream ended as complete before its last event."""
-    replicas = [StreamReplica(site, n) for n in range(REPLICA_COUNT)]
-    site.configure(
-        1,
-        [
-            parts.route(
-                'stream', resumable=True, timeoutMs=10000, maxAttempts=3
-            )
-        ],
-        [parts.service()],
-    )
+    """Return whether the daemons kept within their memory."""
+    replicas = [ItemReplica(site, n) for n in range(REPLICA_COUNT)]
+    site.configure(1, [ROLLOUT_ROUTE], [parts.service()])
     site.start_daemons(2)
-    time.sleep(1.0)
-    short: list[str] = []
-    work = [
-        functools.partial(read_streams, site, number, short)
-        for number in range(CLIENT_COUNT)
-    ]
-    ended = threading.Event()
+    time.sleep(3.0)
+    limit = MemoryLimit(site)
+    limit.start()
     if trouble:
-        failing = threading.Thread(
-            target=fail_in_turn, args=(replicas[0], ended)
-        )
-        failing.start()
-        work.append(functools.partial(crash_in_turn, site, replicas[1:] * 3))
-    parts.run_all(work)
-    ended.set()
-    site.record.add('summary', short=len(short), streams=short)
-    return not short
+        threading.Thread(
+            target=trouble_in_turn,
+            args=(replicas[0], limit.ended),
+            daemon=True,
+        ).start()
+    end_at = time.monotonic() + (TRAFFIC_S if trouble else QUIET_S)
+    number = 0
+    while time.monotonic() < end_at:
+        submit(site, number)
+        number += 1
+        time.sleep(JOB_PERIOD_S)
+    limit.ended.set()
+    limit.join(15)
+    machines = sum(count >= END_COUNT for count in limit.kills.values())
+    site.record.add('summary', kills=limit.kills, most_mb=limit.most_mb)
+    return machines < MACHINE_COUNT
 
 
 rig.run_case(FOLDER, case)
