Review: each case reads TROUBLE itself, and case 2 keeps to the share

Cause: TROUBLE was read in the shared module only; the replica in trouble failed all of its requests, where srv_grey fails two of five.

Change: the scripts read TROUBLE; the replica of case 2 fails two of five; a script that lasts over 116 s or gets SIGTERM ends its processes and exits with 2.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -28,8 +29,8 @@
 MEMORY_MB = 300
 RESTART_S = 1.0
 
-# One of seven replicas is in trouble, for the length of the pages'
-# `srv_grey`, again and again.
+# One of seven replicas fails two of five requests, for the length of the
+# pages' `srv_grey`, again and again.
 TROUBLE_S = 6.5
 SOUND_S = 1.0
 
@@ -60,7 +61,8 @@
     def run(self, request: rig.Request, connection: rig.Connection) -> None:
         """Stream the events, or fail with a body that does not end."""
         self.note_run(request)
-        status = '500 Internal Server Error' if self.in_trouble else '200 OK'
+        fails = self.in_trouble and len(self.ran) % 5 in (0, 2)
+        status = '500 Internal Server Error' if fails else '200 OK'
         fields = {
             **self.headers(request),
             'Content-Type': 'text/event-stream',
@@ -68,7 +70,7 @@
         }
         lines = ''.join(f'{key}: {value}\r\n' for key, value in fields.items())
         connection.sock.sendall(f'HTTP/1.1 {status}\r\n{lines}\r\n'.encode())
-        if self.in_trouble:
+        if fails:
             self.send_without_end(request, connection)
             return
         first = int(request.headers.get('last-event-id', '0')) + 1
@@ -204,4 +206,4 @@
     return machines < MACHINE_COUNT
 
 
-rig.run_case(FOLDER, case)
+rig.run_case(FOLDER, case, os.environ.get('TROUBLE', '1') != '0')
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A resumed stream that a replica answers with a 500; see ``claim.txt``."""
 
 import functools
+import os
 import pathlib
 import sys
 import threading
@@ -136,4 +137,4 @@
     return not short
 
 
-rig.run_case(FOLDER, case)
+rig.run_case(FOLDER, case, os.environ.get('TROUBLE', '1') != '0')
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """A request that crashes replicas is not recognised; see ``claim.txt``."""
 
 import functools
+import os
 import pathlib
 import sys
 import threading
@@ -111,4 +112,4 @@
     return len(late) <= ALLOWED_COUNT
 
 
-rig.run_case(FOLDER, case)
+rig.run_case(FOLDER, case, os.environ.get('TROUBLE', '1') != '0')
--- a/review/rig.py
+++ b/review/rig.py
@@ -39,6 +39,9 @@
 
 START_TIMEOUT_S = 25.0
 
+# A script that lasts longer ends its processes and exits with 2.
+LONGEST_S = 116
+
 
 class Record:
     """Writes what was sent, answered and run to ``record.txt``.
@@ -625,7 +628,9 @@
         connection.sock.close()
 
 
-def run_case(folder: pathlib.Path, case: Callable[[Site, bool], bool]) -> None:
+def run_case(
+    folder: pathlib.Path, case: Callable[[Site, bool], bool], trouble: bool
+) -> None:
     """Run a case and exit with its status.
 
     Parameters
@@ -635,9 +640,13 @@
     case : callable
         Gets the deployment, and whether the disruption is to be played;
         returns whether the rule held.
+    trouble : bool
+        Whether the disruption is to be played.
     """
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     status = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGALRM, lambda *_: sys.exit(2))
+    signal.alarm(LONGEST_S)
     site = None
     try:
         site = Site(folder)
