--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,7 +29,7 @@
 MEMORY_MB = 300
 RESTART_S = 1.0
 
-# One of seven replicas fails two of five requests, for the length of the
+# One of seven replicas of a service fails two of five requests, for the length of the
 # pages' `srv_grey`, again and again.
 TROUBLE_S = 6.5
 SOUND_S = 1.0
@@ -42,15 +42,21 @@
 MACHINE_COUNT = 2
 END_COUNT = 3
 
-ROLLOUT_ROUTE = parts.route(
-    'rollout',
-    name='route-roll',
-    pathPrefix='/roll/',
-    timeoutMs=10000,
-    dueMs=7500,
-    itemTtlS=40,
-    maxAttempts=3,
-)
+# Two model services; a daemon runs the jobs of one of them.
+SERVICES = ('app', 'app-b')
+ROUTES = [
+    parts.route(
+        'rollout',
+        name=f'route-{name}',
+        pathPrefix=f'/{name}/',
+        service=name,
+        timeoutMs=10000,
+        dueMs=7500,
+        itemTtlS=40,
+        maxAttempts=3,
+    )
+    for name in SERVICES
+]
 
 
 class ItemReplica(parts.Replica):
@@ -140,13 +146,13 @@
     return 0
 
 
-def submit(site: rig.Site, number: int) -> None:
+def submit(site: rig.Site, service: str, number: int) -> None:
     """Submit a batch job, at another daemon after a failure."""
-    job_id = f'job-{number}'
+    job_id = f'{service}-{number}'
     items = [
         {
             'id': f'{job_id}-{group}-{member}',
-            'path': f'/roll/{job_id}/{group}/{member}',
+            'path': f'/{service}/{job_id}/{group}/{member}',
             'headers': {'X-Model': 'model-a', 'X-Token-Count': '540,400'},
             'body': base64.b64encode(b'b' * 600).decode(),
             'tokens': 940,
@@ -161,7 +167,7 @@
         status = 0
         try:
             status, _, _ = rig.call(
-                daemon.caller, 'POST', '/roll/x', headers, body
+                daemon.caller, 'POST', f'/{service}/x', headers, body
             )
         except (rig.Closed, OSError, ValueError):
             pass
@@ -181,22 +187,26 @@
 
 def case(site: rig.Site, trouble: bool) -> bool:
     """Return whether the daemons kept within their memory."""
-    replicas = [ItemReplica(site, n) for n in range(REPLICA_COUNT)]
-    site.configure(1, [ROLLOUT_ROUTE], [parts.service()])
+    replicas = [
+        ItemReplica(site, number, service=SERVICES[number % 2])
+        for number in range(2 * REPLICA_COUNT)
+    ]
+    site.configure(1, ROUTES, [parts.service(name) for name in SERVICES])
     site.start_daemons(2)
     time.sleep(3.0)
     limit = MemoryLimit(site)
     limit.start()
-    if trouble:
+    for replica in replicas[:2] if trouble else ():
         threading.Thread(
             target=trouble_in_turn,
-            args=(replicas[0], limit.ended),
+            args=(replica, limit.ended),
             daemon=True,
         ).start()
     end_at = time.monotonic() + (TRAFFIC_S if trouble else QUIET_S)
     number = 0
     while time.monotonic() < end_at:
-        submit(site, number)
+        for service in SERVICES:
+            submit(site, service, number)
         number += 1
         time.sleep(JOB_PERIOD_S)
     limit.ended.set()
--- a/review/parts.py
+++ b/review/parts.py
@@ -29,10 +29,10 @@
     }
 
 
-def service() -> dict[str, Any]:
-    """Return the entry of the service in the configuration."""
+def service(name: str = SERVICE) -> dict[str, Any]:
+    """Return the entry of a service in the configuration."""
     return {
-        'name': SERVICE,
+        'name': name,
         'healthPath': '/health',
         'maxConns': 110,
         'protocol': 'h1',
@@ -51,12 +51,19 @@
         Its number.
     work_s : float, optional
         Seconds that a request takes.
+    service : str, optional
+        Service to which it belongs.
     """
 
     def __init__(
-        self, site: rig.Site, number: int, work_s: float = 0.025
+        self,
+        site: rig.Site,
+        number: int,
+        work_s: float = 0.025,
+        service: str = SERVICE,
     ) -> None:
         self.site = site
+        self.service = service
         self.number = number
         self.work_s = work_s
         self.incarnation = 1
@@ -78,7 +85,7 @@
             'servers',
             self.id,
             {
-                'service': SERVICE,
+                'service': self.service,
                 'address': self.address,
                 'zone': 'zone-a',
                 'version': 'v1',
