--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,8 +29,8 @@
 MEMORY_MB = 300
 RESTART_S = 1.0
 
-# One of seven replicas of a service fails two of five requests, for the length of the
-# pages' `srv_grey`, again and again.
+# One of seven replicas of a service fails two of five requests, for the
+# length of the pages' `srv_grey`, again and again.
 TROUBLE_S = 6.5
 SOUND_S = 1.0
 
