Bound the body of a response to an item that brings no text

Cause: ItemRunner.check_head read the body of a failure or refusal whole, after the exchange had lifted the bounds of its socket. The count of failures came after that read, so such an item was never given up either. A text of valid events had no bound.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -52,6 +52,9 @@
 # Delay before the next attempt after any other failure.
 FAILURE_RETRY_S = 0.2
 
+# Longest text of an item; the store would not take a longer result.
+MAX_TEXT_BYTES = 1_048_576
+
 # Status by which a target says that it will never run the item.
 UNPROCESSABLE_STATUS = 422
 
@@ -216,17 +219,17 @@
         if head.not_run:
             view.record_rejection(target)
             entry.not_before = now + BUSY_RETRY_S * self.rng.random()
-            response.body()
+            response.discard()
             return False
         if head.status == UNPROCESSABLE_STATUS:
             self.give_up(run, entry, 'the target rejected it as unprocessable')
             return False
         if head.status != 200:
-            response.body()
             entry.failures += 1
             entry.not_before = now + FAILURE_RETRY_S
             if entry.failures >= route.max_attempts:
                 self.give_up(run, entry, f'{entry.failures} runs failed')
+            response.discard()
             return False
         if not head.signature:
             raise ValueError('The response has no signature.')
@@ -256,8 +259,15 @@
         version = response.head.version
         last_event_at = self.state.clock.monotonic()
         event_count = 0
+        text_bytes = sum(map(len, entry.texts))
         for data in response.chunks():
             now = self.state.clock.monotonic()
+            text_bytes += len(data)
+            if text_bytes > MAX_TEXT_BYTES:
+                entry.reset()
+                raise ValueError(
+                    f'The text has more than {MAX_TEXT_BYTES} bytes.'
+                )
             events = list(reader.feed(data))
             for item_event in events:
                 version = self.add_event(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -98,9 +98,7 @@
         """
         pending = self.begin(target, request, reuse, token, resume_after)
         try:
-            response = self.read_head(pending, silence_timeout_s)
-            pending.sock.limit(None)
-            yield response
+            yield self.read_head(pending, silence_timeout_s)
         finally:
             self.finish(pending)
 
@@ -282,7 +280,7 @@
             if key.lower() not in headers.CONNECTION_HEADERS
         ]
         return target_response.TargetResponse(
-            head, forwarded, response, target_id
+            head, forwarded, response, pending.sock, target_id
         )
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -42,9 +42,6 @@
 MAX_READ_S = 1.0
 READ_RATIO = 4.0
 
-# Largest response that is kept in memory until it is complete.
-MAX_BODY_BYTES = 16_777_216
-
 
 class Forwarder:
     """Chooses targets, sends requests, and retries or hedges them.
@@ -269,9 +266,8 @@
             )
         try:
             incoming = self.exchanger.read_head(attempt, remaining_s)
-            attempt.sock.limit(remaining_s, MAX_BODY_BYTES)
             response = forwarded_response.ForwardedResponse(
-                incoming.head, incoming.headers, incoming.body()
+                incoming.head, incoming.headers, incoming.body(remaining_s)
             )
         except target_error.TargetError as exc:
             self.close_exchange(pending, attempt)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -29,6 +29,9 @@
 # target. Callers wait at least that long.
 EVENT_TIMEOUT_S = 2.0
 
+# Least time to read from a target, even at the deadline.
+MIN_TIMEOUT_S = 0.01
+
 # Part of a route's latency goal for which a stream waits if all targets limit
 # the rate of requests.
 PERMIT_WAIT_RATIO = 0.2
@@ -228,12 +231,9 @@
         view = self.state.replicas
         view.begin_request(target)
         stack.callback(view.end_request, target)
-        remaining_s = stream.request.deadline - self.state.clock.monotonic()
-        timeout_s = (
-            min(remaining_s, EVENT_TIMEOUT_S)
-            if stream.route.resumable
-            else remaining_s
-        )
+        timeout_s = self.remaining_s(stream)
+        if stream.route.resumable:
+            timeout_s = min(timeout_s, EVENT_TIMEOUT_S)
         first = not stream.reached_count
         self.state.count_request(stream.request.workspace, int(first))
         try:
@@ -241,7 +241,7 @@
                 self.exchanger.exchange(
                     target,
                     stream.request,
-                    max(timeout_s, 0.01),
+                    timeout_s,
                     stream.route.resumable,
                     stream.cancel_token,
                     stream.last_event,
@@ -252,6 +252,11 @@
                 self.state.count_request(stream.request.workspace, -int(first))
             raise
 
+    def remaining_s(self, stream: stream_state.StreamState) -> float:
+        """Return the seconds until the request's deadline."""
+        left_s = stream.request.deadline - self.state.clock.monotonic()
+        return max(left_s, MIN_TIMEOUT_S)
+
     def chunks(
         self,
         stream: stream_state.StreamState,
@@ -268,7 +273,7 @@
             if not content_types or not content_types[0].startswith(
                 EVENT_STREAM_TYPE
             ):
-                yield from response.chunks()
+                yield from response.chunks(self.remaining_s(stream))
                 return
             while True:
                 resumed_after = stream.last_event
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
@@ -1,17 +1,32 @@
 """A response of a target, whose body is read as it arrives."""
 
 from collections.abc import Iterator
+import logging
 
 import attrs
 import urllib3
 
 from chestnutshunt_daemon import target_call
+from chestnutshunt_daemon import target_error
+from chestnutshunt_daemon.targets import bounded_socket
 from chestnutshunt_daemon.targets import response_head
 
-__all__ = ['TargetResponse']
+__all__ = ['MAX_BODY_BYTES', 'TargetResponse']
+
+LOG = logging.getLogger(__name__)
 
 CHUNK_BYTES = 65_536
 
+# Largest body that is kept in memory until it is complete, and the time in
+# which it must arrive.
+MAX_BODY_BYTES = 16_777_216
+BODY_READ_S = 10.0
+
+# A body that is not used is read within these bounds, so that its connection
+# can be used again; beyond them a new connection costs less.
+MAX_UNUSED_BYTES = 65_536
+UNUSED_READ_S = 0.1
+
 
 @attrs.define(eq=False)
 class TargetResponse:
@@ -25,6 +40,8 @@
         Headers that may be forwarded.
     http_response : BaseHTTPResponse
         The underlying response.
+    sock : BoundedSocket
+        Socket that the response is read from.
     target_id : str
         Id of the target, for error messages.
     complete : bool
@@ -34,17 +51,30 @@
     head: response_head.ResponseHead
     headers: list[tuple[str, str]]
     http_response: urllib3.BaseHTTPResponse
+    sock: bounded_socket.BoundedSocket
     target_id: str
     complete: bool = False
 
-    def chunks(self) -> Iterator[bytes]:
+    def chunks(
+        self, read_s: float | None = None, max_bytes: int | None = None
+    ) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
+        Parameters
+        ----------
+        read_s : float, optional
+            Seconds in which the whole body must arrive. Without it, only the
+            time between two reads is bounded.
+        max_bytes : int, optional
+            Largest body with its framing in bytes; any by default.
+
         Raises
         ------
         TargetError
-            The body ended early, or no data arrived for too long.
+            The body ended early, exceeds a bound, or no data arrived for too
+            long.
         """
+        self.sock.limit(read_s, max_bytes)
         with target_call.translate_body_errors(self.target_id):
             if self.http_response.chunked:
                 yield from self.http_response.read_chunked(CHUNK_BYTES)
@@ -62,6 +92,26 @@
                 f'{missing_bytes} bytes missing'
             )
 
-    def body(self) -> bytes:
-        """Return the complete body; raises `TargetError`."""
-        return b''.join(self.chunks())
+    def body(
+        self, read_s: float = BODY_READ_S, max_bytes: int = MAX_BODY_BYTES
+    ) -> bytes:
+        """Return the complete body; the parameters are those of `chunks`."""
+        return b''.join(self.chunks(read_s, max_bytes))
+
+    def discard(self) -> None:
+        """Read a body that is not used, if it is short and arrives soon.
+
+        Otherwise its connection is closed at the end of the exchange.
+        """
+        try:
+            for _ in self.chunks(UNUSED_READ_S, MAX_UNUSED_BYTES):
+                pass
+        except target_error.TargetError as exc:
+            LOG.info(
+                'Rest of a response dropped',
+                extra={
+                    'request': self.head.request_id,
+                    'target': self.target_id,
+                    'error': exc.message,
+                },
+            )
--- a/tests/targets/test_endless_answers.py
+++ b/tests/targets/test_endless_answers.py
@@ -59,6 +59,22 @@
     'a slow body': (HEAD + b'\r\n', b'x', 0.05),
 }
 
+FAILED = HEAD.replace(b'200 OK', b'500 Failed')
+NOT_RUN = HEAD.replace(b'200 OK', b'503 Full') + b'X-Not-Run: 1\r\n'
+EVENTS = b'Content-Type: text/event-stream\r\n\r\n'
+
+# Responses to an item that do not bring its text.
+USELESS_FLOODS = {
+    'a failure without length': (FAILED + b'\r\n', PART),
+    'a failure in chunks': (
+        FAILED + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'10000\r\n' + PART + b'\r\n',
+    ),
+    'a slow failure': (FAILED + b'\r\n', b'x', 0.05),
+    'a refusal': (NOT_RUN + b'\r\n', PART),
+    'a slow refusal': (NOT_RUN + b'\r\n', b'x', 0.05),
+}
+
 
 @pytest.fixture
 def target():
@@ -88,9 +104,11 @@
     assert view.state(view.replicas['t1']).running == 0
 
 
-@pytest.mark.parametrize('kind', FLOODS)
+# Guards against Fault: daemons were killed for their memory, since the body of
+# a failed response to an item was read without bounds.
+@pytest.mark.parametrize('kind', FLOODS | USELESS_FLOODS)
 def test_an_item_goes_on_elsewhere(kind):
-    step = flood(*FLOODS[kind])
+    step = flood(*(FLOODS | USELESS_FLOODS)[kind])
     with contextlib.ExitStack() as stack:
         harness = test_job_runner.Harness(stack)
         harness.add('t1', step)
@@ -114,3 +132,36 @@
         harness.add('t1', step, test_job_runner.COMPLETE_STREAM)
         (listed,) = harness.results(test_job_runner.make_job())
         assert listed.complete
+
+
+def numbered_flood():
+    """Return a step that sends events with rising ids for ever."""
+
+    def step(connection, fields):
+        number = 0
+        end = time.monotonic() + TIMEOUT_S
+        head = HEAD % fields['x-request-id'].encode()
+        with contextlib.suppress(OSError):
+            connection.sendall(head + EVENTS)
+            while time.monotonic() < end and number < 2000:
+                number += 1
+                block = b'id: %d\ndata: %s\n\n' % (number, PART)
+                connection.sendall(block)
+            step.ended = 'by itself'
+            return
+        step.ended = 'closed'
+
+    step.ended = ''
+    return step
+
+
+# Guards against Fault: the text of an item was kept in memory however long.
+def test_a_text_without_end_is_given_up():
+    step = numbered_flood()
+    with contextlib.ExitStack() as stack:
+        harness = test_job_runner.Harness(stack)
+        harness.add('t1', step, test_job_runner.COMPLETE_STREAM)
+        (listed,) = harness.results(test_job_runner.make_job())
+        assert listed.complete
+        assert listed.text == 'd1\nd2\nd3'
+        assert step.ended == 'closed'
