Bound the replies to calls to the platform and to targets' own interface

What callers could see: no loads of weights and a daemon killed for its memory, once a target answers an order or a request for its report with bytes without end.

Cause: JsonClient read replies whole; urllib3's timeout bounds the time between two reads, not their sum.

--- /dev/null
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_connection.py
@@ -0,0 +1,40 @@
+"""HTTP connection whose reads can be bounded."""
+
+import urllib3.connection
+
+from chestnutshunt_daemon import bounded_socket
+
+__all__ = ['BoundedConnection', 'ReplyConnection', 'ReplyPool']
+
+# Largest reply of a call: a page of a list is about 1 MB, an object at most
+# that.
+MAX_REPLY_BYTES = 8_388_608
+
+
+class BoundedConnection(urllib3.connection.HTTPConnection):
+    """Connection with a `BoundedSocket`."""
+
+    sock: bounded_socket.BoundedSocket
+
+    def connect(self) -> None:
+        """Connect, and bound the reads of the socket from now on."""
+        super().connect()
+        self.sock = bounded_socket.bound(self.sock)
+
+
+class ReplyConnection(BoundedConnection):
+    """Connection of a client that reads every reply whole.
+
+    A reply must arrive within the timeout of its call and `MAX_REPLY_BYTES`.
+    """
+
+    def getresponse(self) -> urllib3.HTTPResponse:
+        """Read the head of a reply."""
+        self.sock.limit(self.timeout, MAX_REPLY_BYTES)
+        return super().getresponse()
+
+
+class ReplyPool(urllib3.HTTPConnectionPool):
+    """Pool of such connections."""
+
+    ConnectionCls = ReplyConnection
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -14,6 +14,7 @@
 from chestnutshunt import clock
 from chestnutshunt.routing import target
 from chestnutshunt import steps
+from chestnutshunt_daemon import bounded_connection
 from chestnutshunt_daemon import caller_request
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import headers
@@ -239,7 +240,7 @@
         The connection failed; nothing was sent.
     """
     host, _, port = address.rpartition(':')
-    connection = urllib3.connection.HTTPConnection(
+    connection = bounded_connection.BoundedConnection(
         host, int(port), timeout=timeout_s
     )
     try:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -18,7 +18,6 @@
 from chestnutshunt_daemon import target_call
 from chestnutshunt_daemon import target_error
 from chestnutshunt_daemon.targets import attempt_context
-from chestnutshunt_daemon.targets import bounded_socket
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import open_exchange
 from chestnutshunt_daemon.targets import target_codec
@@ -146,7 +145,6 @@
             connection = target_call.connect(
                 target.id, target.address, CONNECT_TIMEOUT_S
             )
-            connection.sock = bounded_socket.bound(connection.sock)
         pending = open_exchange.OpenExchange(
             target, request, connection, connection.sock, reused, token
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/open_exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/open_exchange.py
@@ -4,7 +4,7 @@
 import urllib3.connection
 
 from chestnutshunt.replicas import replica
-from chestnutshunt_daemon.targets import bounded_socket
+from chestnutshunt_daemon import bounded_socket
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import target_request
 from chestnutshunt_daemon.targets import target_response
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
@@ -8,7 +8,7 @@
 
 from chestnutshunt_daemon import target_call
 from chestnutshunt_daemon import target_error
-from chestnutshunt_daemon.targets import bounded_socket
+from chestnutshunt_daemon import bounded_socket
 from chestnutshunt_daemon.targets import response_head
 
 __all__ = ['MAX_BODY_BYTES', 'TargetResponse']
--- /dev/null
+++ b/tests/platform/test_json_client.py
@@ -0,0 +1,46 @@
+"""Calls to servers in trouble by the client of the platform's interfaces."""
+
+import pytest
+from returns import result
+
+from chestnutshunt import errors
+from chestnutshunt_platform import json_client
+from tests import fake_target
+from tests.jobs import test_job_runner
+from tests.targets import test_endless_answers
+
+CALL_S = 0.4
+
+
+@pytest.fixture
+def server():
+    servers = []
+
+    def make(step):
+        servers.append(fake_target.FakeTarget('t', step))
+        return servers[-1].address
+
+    yield make
+    for made in servers:
+        made.close()
+
+
+def call(address, method='GET'):
+    client = json_client.JsonClient(CALL_S, 1)
+    value = {} if method == 'POST' else None
+    # The stand-ins of targets echo the id of each request.
+    headers = {'X-Request-Id': 'q1'}
+    url = f'http://{address}/'
+    return client.call(method, url, value, headers)
+
+
+# Guards against Fault: a reply without end filled the memory of the daemon
+# that had sent an order to a target, or kept its thread for ever.
+@pytest.mark.parametrize('kind', test_endless_answers.FLOODS)
+def test_a_reply_without_end_is_given_up(server, kind):
+    step = test_endless_answers.flood(*test_endless_answers.FLOODS[kind])
+    outcome = call(server(step))
+    assert isinstance(outcome, result.Failure)
+    assert isinstance(outcome.failure(), errors.PlatformUnavailable)
+    test_job_runner.wait_until(lambda: step.ended)
+    assert step.ended == 'closed'
