Go on with a stream only from a response that holds events

Cause: status and media type were looked at for the first response of a stream only; when it was resumed, any body counted as events, and one without events is a regular end. ItemRunner looked at the status, not at the media type.

Change: TargetResponse.has_events decides wherever events are read. A response that has none is a failed attempt once the stream has begun; before that it is forwarded as it is.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -233,6 +233,8 @@
             return False
         if not head.signature:
             raise ValueError('The response has no signature.')
+        if not response.has_events:
+            raise ValueError('The response is no stream of events.')
         if head.version is not None and run.job.model:
             view.record_version(target, run.job.model, head.version)
             if head.version < run.job.minimum_version:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -40,8 +40,6 @@
 # be asked may know it.
 UNKNOWN_ORIGIN_DELAY_S = 1.0
 
-EVENT_STREAM_TYPE = 'text/event-stream'
-
 
 class StreamForwarder:
     """Forwards streams; resumable ones go on when their target fails.
@@ -149,14 +147,17 @@
                 )
                 continue
             stream.reached_count += 1
-            if response.head.status < 300 and not response.head.signature:
+            fault = self.fault_of(stream, response)
+            if fault:
                 attempt.close()
                 LOG.info(
                     'Attempt',
                     extra={
                         'request': stream.request.id,
                         'target': target.id,
-                        'outcome': 'unsigned',
+                        'outcome': fault,
+                        'status': response.head.status,
+                        'after': stream.last_event,
                     },
                 )
                 continue
@@ -166,6 +167,21 @@
             stack.enter_context(attempt)
             return response
 
+    def fault_of(
+        self,
+        stream: stream_state.StreamState,
+        response: target_response.TargetResponse,
+    ) -> str:
+        """Return why a response is not forwarded, an empty string if it is.
+
+        The caller of a stream that has begun can only be sent more events.
+        """
+        if response.head.status < 300 and not response.head.signature:
+            return 'unsigned'
+        if stream.begun and not response.has_events:
+            return 'not resumed'
+        return ''
+
     def choose_target(
         self, stream: stream_state.StreamState
     ) -> replica.Replica:
@@ -265,14 +281,7 @@
     ) -> Iterator[bytes]:
         """Yield the body; a resumable one goes on at another target."""
         with stack:
-            content_types = [
-                value
-                for name, value in response.headers
-                if name.lower() == 'content-type'
-            ]
-            if not content_types or not content_types[0].startswith(
-                EVENT_STREAM_TYPE
-            ):
+            if not response.has_events:
                 yield from response.chunks(self.remaining_s(stream))
                 return
             while True:
@@ -291,6 +300,7 @@
                 finally:
                     self.log_run(stream, resumed_after, outcome)
                 stack.close()
+                stream.begun = True
                 response = self.connect(stream, stack)
 
     def log_run(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
@@ -33,6 +33,8 @@
         Targets that were chosen for an attempt.
     reached_count : int
         Targets that may have run the request.
+    begun : bool
+        True once the caller has the head of a response.
     last_event : int or None
         Id of the last event that the caller has.
     origin : StreamOrigin or None
@@ -48,6 +50,7 @@
     may_send: Callable[[], bool]
     tried_ids: set[str] = attrs.field(factory=set)
     reached_count: int = 0
+    begun: bool = False
     last_event: int | None = None
     origin: stream_origin.StreamOrigin | None = None
     target: replica.Replica | None = None
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
@@ -6,9 +6,9 @@
 import attrs
 import urllib3
 
+from chestnutshunt_daemon import bounded_socket
 from chestnutshunt_daemon import target_call
 from chestnutshunt_daemon import target_error
-from chestnutshunt_daemon import bounded_socket
 from chestnutshunt_daemon.targets import response_head
 
 __all__ = ['MAX_BODY_BYTES', 'TargetResponse']
@@ -27,6 +27,8 @@
 MAX_UNUSED_BYTES = 65_536
 UNUSED_READ_S = 0.1
 
+EVENT_STREAM_TYPE = 'text/event-stream'
+
 
 @attrs.define(eq=False)
 class TargetResponse:
@@ -55,6 +57,14 @@
     target_id: str
     complete: bool = False
 
+    @property
+    def has_events(self) -> bool:
+        """True if the body is a stream of events, not that of an error."""
+        media_type = self.http_response.headers.get('Content-Type', '')
+        return self.head.status == 200 and media_type.lower().startswith(
+            EVENT_STREAM_TYPE
+        )
+
     def chunks(
         self, read_s: float | None = None, max_bytes: int | None = None
     ) -> Iterator[bytes]:
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -126,6 +126,22 @@
     assert (listed.text, listed.versions) == ('d1\nd2\nd3', (5,))
 
 
+# Guards against MIXED: a text ended early, since a response without events
+# counted as the rest of it.
+@pytest.mark.parametrize('media_type', ['text/html', ''])
+def test_a_response_without_events_does_not_complete_a_text(stack, media_type):
+    headers = {'Content_Type': media_type} if media_type else {}
+    steps = [
+        fake_target.events(1, 2, complete=False, version=5),
+        fake_target.respond(200, b'', X_Weight_Versions=5, **headers),
+        fake_target.events(3, version=5),
+    ]
+    harness = Harness(stack)
+    harness.add('t1', *steps)
+    (listed,) = harness.results(make_job())
+    assert listed.text == 'd1\nd2\nd3'
+
+
 def test_resumes_after_the_last_complete_event(stack):
     def cut_or_rest(connection, fields):
         after = int(fields.get('last-event-id', 0))
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -116,6 +116,60 @@
     assert not [x for x in heads if 'last-event-id' in x]
 
 
+ERRORS = {
+    'empty failure': fake_target.respond(500, b''),
+    'failure': fake_target.respond(500, b'Internal error\n\n'),
+    'failure in events': fake_target.respond(
+        500, b'id: 3\ndata: error\n\n', Content_Type='text/event-stream'
+    ),
+    'timeout': fake_target.respond(504, b''),
+    'unknown path': fake_target.respond(404, b''),
+    'unprocessable': fake_target.respond(422, b''),
+    'other media type': fake_target.respond(
+        200, b'', Content_Type='text/html'
+    ),
+    'no media type': fake_target.respond(200, b''),
+}
+
+
+# Guards against ORDER: a stream ended as if it were complete, or went on with
+# the text of an error, after the target that should resume it had failed.
+@pytest.mark.parametrize('kind', ERRORS)
+def test_error_of_the_next_target_is_not_joined_to_a_stream(target, kind):
+    step = first_or_rest(
+        fake_target.events(1, 2, complete=False), ERRORS[kind]
+    )
+    response = open_stream(True, *(target(f't{n}', step) for n in range(3)))
+    received = []
+    with pytest.raises(errors.TargetFailed):
+        received.extend(response.chunks)
+    assert b''.join(received) in (b'', encoded_events(1, 2))
+
+
+# Guards against ORDER: the next target fails, and another one can go on.
+@pytest.mark.parametrize('kind', ERRORS)
+def test_stream_goes_on_after_an_error_of_the_next_target(target, kind):
+    begins = fake_target.events(1, 2, complete=False)
+    rest = fake_target.events(3, 4)
+    bad = target('t1', first_or_rest(begins, ERRORS[kind]))
+    good = [target(f't{n}', first_or_rest(begins, rest)) for n in (2, 3)]
+    for _ in range(6):
+        response = open_stream(True, bad, *good)
+        assert b''.join(response.chunks) == encoded_events(1, 2, 3, 4)
+
+
+# Guards against ORDER: the body of an error counted as events, and its stream
+# was resumed elsewhere under the error's status.
+def test_error_of_the_first_target_is_forwarded_as_it_is(target):
+    lone = target(
+        't3',
+        fake_target.respond(500, b'text', Content_Type='text/event-stream'),
+    )
+    response = open_stream(True, lone)
+    assert response.head.status == 500
+    assert b''.join(response.chunks) == b'text'
+
+
 def first_or_rest(first_part, rest):
     def step(connection, fields):
         (rest if 'last-event-id' in fields else first_part)(connection, fields)
