Recognise requests that crash targets on pooled connections

Cause: the close of a pooled connection after a request was sent on it counted as the end of an idle connection, neither as a crash nor as an attempt. Streams told the quarantine nothing.

Change: the request is sent to the same target again, on a new connection, which tells the two apart: refused, closed again or answered by another process means a crash. The target counts as reached. Streams take part until their first event; chestnutshuntd counts a refused second attempt as a crash as well.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -183,7 +183,13 @@
         except target_error.TargetError as exc:
             if not exc.stale:
                 raise
-            yield from self.attempt_once(chosen_target, is_last, reuse=False)
+            try:
+                yield from self.attempt_once(
+                    chosen_target, is_last, reuse=False
+                )
+            except target_error.TargetError as second:
+                second.crashed = second.crashed or second.unreachable
+                raise
 
     def attempt_once(
         self, chosen_target: target.Target, is_last: bool, reuse: bool
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -248,7 +248,7 @@
     except EXCHANGE_ERRORS as exc:
         message = f'Connecting to {target_name} failed: {type(exc).__name__}.'
         raise target_error.TargetError(
-            message, progress.Progress.NOT_SENT
+            message, progress.Progress.NOT_SENT, unreachable=True
         ) from exc
     return connection
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
@@ -16,7 +16,11 @@
     crashed : bool
         True if the target closed the connection after the request was sent.
     stale : bool
-        True if a pooled connection turned out to be closed.
+        True if a pooled connection was closed after the request was sent on
+        it. A new connection to the target tells why: the connection had been
+        idle for too long, or the target crashed.
+    unreachable : bool
+        True if no connection to the target could be opened.
     moved : bool
         True if the request moves away from a target that is about to be
         reclaimed.
@@ -32,6 +36,7 @@
         stale: bool = False,
         moved: bool = False,
         rate_limited: bool = False,
+        unreachable: bool = False,
     ) -> None:
         super().__init__(message)
         self.attempt_progress = reached
@@ -39,3 +44,4 @@
         self.stale = stale
         self.moved = moved
         self.rate_limited = rate_limited
+        self.unreachable = unreachable
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forward_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forward_state.py
@@ -4,6 +4,7 @@
 
 from chestnutshunt.deployment import route
 from chestnutshunt.deployment import route_kind
+from chestnutshunt.replicas import replica
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import open_exchange
 from chestnutshunt_daemon.targets import target_request
@@ -43,6 +44,11 @@
         Targets that were busy or could not be reached.
     reached_ids : set of str
         Targets that may have run the request.
+    stale_keys : set of str
+        Target processes that closed a pooled connection after the request
+        was sent on it.
+    stale_target : Replica or None
+        The last of them until the request is sent on a new connection.
     resend_count : int
         Attempts at targets that had been reached before.
     """
@@ -61,6 +67,8 @@
     may_have_run: bool = False
     unavailable_ids: set[str] = attrs.field(factory=set)
     reached_ids: set[str] = attrs.field(factory=set)
+    stale_keys: set[str] = attrs.field(factory=set)
+    stale_target: replica.Replica | None = None
     resend_count: int = 0
 
     @property
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -169,6 +169,9 @@
         ):
             return None
         view = self.state.replicas
+        stale_target, pending.stale_target = pending.stale_target, None
+        if stale_target in view.serving(pending.service):
+            return stale_target
         if len(pending.reached_ids) < pending.route.max_attempts:
             untried = view.choose(
                 pending.service, pending.unavailable_ids | pending.reached_ids
@@ -203,7 +206,8 @@
             attempt = self.exchanger.begin(
                 target,
                 pending.request,
-                pending.is_idempotent,
+                pending.is_idempotent
+                and target.start_key not in pending.stale_keys,
                 pending.cancel_token,
             )
         except target_error.TargetError as exc:
@@ -344,16 +348,24 @@
         if exc.rate_limited:
             pending.unavailable_ids.add(target.id)
             return
+        pending.reached_ids.update({target.id} if sent else ())
         if exc.stale:
-            # Only the idle connection was closed; the target did not fail.
-            pending.reached_ids.discard(target.id)
+            pending.stale_keys.add(target.start_key)
+            pending.stale_target = target
             return
         self.state.replicas.state(target).breaker.record_failure()
+        if exc.crashed or (
+            exc.unreachable and target.start_key in pending.stale_keys
+        ):
+            self.record_crash(pending, target)
         if not sent:
             pending.unavailable_ids.add(target.id)
-            return
-        pending.reached_ids.add(target.id)
-        if exc.crashed and not pending.is_owed:
+
+    def record_crash(
+        self, pending: forward_state.ForwardState, target: replica.Replica
+    ) -> None:
+        """Record that a target crashed while it ran the request."""
+        if not pending.is_owed:
             self.state.quarantine.record_crash(
                 pending.digest, target.start_key
             )
@@ -369,10 +381,13 @@
         head = response.head
         view.record_load(target, head.running, head.waiting)
         if head.not_run:
+            if head.other_process and target.start_key in pending.stale_keys:
+                self.record_crash(pending, target)
             view.record_rejection(target)
             self.state.count_request(pending.request.workspace, -1)
             pending.unavailable_ids.add(target.id)
-            pending.reached_ids.discard(target.id)
+            if target.start_key not in pending.stale_keys:
+                pending.reached_ids.discard(target.id)
             pending.may_have_run = bool(pending.reached_ids)
             self.log_attempt(pending, target, 'not run', status=head.status)
             self.state.metrics.attempts.labels('not_run').inc()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/response_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/response_head.py
@@ -19,6 +19,9 @@
         Proof that the target made the response; empty if not given.
     not_run : bool
         True if the target says that it did not run the request.
+    other_process : bool
+        True if another process than the one that was named has taken the
+        target's address.
     running, waiting : int or None
         Requests that run and wait at the target, if it reports them.
     version : int or None
@@ -34,6 +37,7 @@
     request_id: str
     signature: str
     not_run: bool
+    other_process: bool = False
     running: int | None = None
     waiting: int | None = None
     version: int | None = None
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -15,6 +15,7 @@
 from chestnutshunt_daemon import target_error
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import exchange
+from chestnutshunt_daemon.targets import forwarder
 from chestnutshunt_daemon.targets import refusals
 from chestnutshunt_daemon.targets import stream_response
 from chestnutshunt_daemon.targets import stream_state
@@ -77,7 +78,7 @@
 
         Raises
         ------
-        NoTarget
+        NoTarget, Quarantined
             The request has not run and will not.
         TargetFailed
             The request may have run.
@@ -91,7 +92,10 @@
             token,
             may_send,
             last_event=request.position.last_event,
+            digest=forwarder.request_digest(request),
         )
+        if self.is_quarantined(stream):
+            raise errors.Quarantined('The request has crashed targets.')
         if stream.is_taken_up:
             self.find_origin(stream)
         stack = contextlib.ExitStack()
@@ -105,6 +109,15 @@
             response.head, response.headers, chunks
         )
 
+    def is_quarantined(self, stream: stream_state.StreamState) -> bool:
+        """Return whether the request has crashed too many targets.
+
+        A request that has brought events does not crash targets.
+        """
+        return stream.last_event is None and self.state.quarantine.refuses(
+            stream.digest
+        )
+
     def find_origin(self, stream: stream_state.StreamState) -> None:
         """Set the service and origin at which a taken-up stream goes on.
 
@@ -141,12 +154,19 @@
                 raise
             if response.head.not_run:
                 attempt.close()
+                if (
+                    response.head.other_process
+                    and target.start_key in stream.stale_keys
+                ):
+                    self.record_crash(stream, target)
                 self.state.replicas.record_rejection(target)
                 self.state.count_request(
                     stream.request.workspace, -int(not stream.reached_count)
                 )
                 continue
-            stream.reached_count += 1
+            stream.reached_count += int(
+                target.start_key not in stream.stale_keys
+            )
             fault = self.fault_of(stream, response)
             if fault:
                 attempt.close()
@@ -188,7 +208,12 @@
         """Return the next target; raises an error if there is none."""
         if stream.cancel_token.cancelled.is_set():
             raise cancel_token.CallerLeft('The caller disconnected.')
-        allowed = stream.may_send()
+        allowed = stream.may_send() and not self.is_quarantined(stream)
+        stale_target, stream.stale_target = stream.stale_target, None
+        if allowed and stale_target in self.state.replicas.serving(
+            stream.service
+        ):
+            return stale_target
         target = None
         if allowed and (stream.route.resumable or not stream.reached_count):
             if stream.reached_count < stream.route.max_attempts:
@@ -258,7 +283,8 @@
                     target,
                     stream.request,
                     timeout_s,
-                    stream.route.resumable,
+                    stream.route.resumable
+                    and target.start_key not in stream.stale_keys,
                     stream.cancel_token,
                     stream.last_event,
                 )
@@ -297,6 +323,8 @@
                             'The caller disconnected.'
                         ) from exc
                     outcome = str(exc)
+                    if getattr(exc, 'crashed', False):
+                        self.record_crash(stream, stream.target)
                 finally:
                     self.log_run(stream, resumed_after, outcome)
                 stack.close()
@@ -373,7 +401,21 @@
                 'error': exc.message,
             },
         )
-        if not exc.stale and not exc.rate_limited:
+        sent = exc.attempt_progress is not progress.Progress.NOT_SENT
+        if exc.stale:
+            stream.stale_keys.add(target.start_key)
+            stream.stale_target = target
+        elif not exc.rate_limited:
             self.state.replicas.state(target).breaker.record_failure()
-        if exc.attempt_progress is not progress.Progress.NOT_SENT:
+        was_stale = target.start_key in stream.stale_keys
+        if exc.crashed or (exc.unreachable and was_stale):
+            self.record_crash(stream, target)
+        if sent and (exc.stale or not was_stale):
             stream.reached_count += 1
+
+    def record_crash(
+        self, stream: stream_state.StreamState, target: replica.Replica
+    ) -> None:
+        """Record that a target crashed when it began the request."""
+        if stream.last_event is None:
+            self.state.quarantine.record_crash(stream.digest, target.start_key)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
@@ -33,6 +33,13 @@
         Targets that were chosen for an attempt.
     reached_count : int
         Targets that may have run the request.
+    digest : str
+        Identifies the request when a caller sends it again.
+    stale_keys : set of str
+        Target processes that closed a pooled connection after the request
+        was sent on it.
+    stale_target : Replica or None
+        The last of them until the request is sent on a new connection.
     begun : bool
         True once the caller has the head of a response.
     last_event : int or None
@@ -50,6 +57,9 @@
     may_send: Callable[[], bool]
     tried_ids: set[str] = attrs.field(factory=set)
     reached_count: int = 0
+    digest: str = ''
+    stale_keys: set[str] = attrs.field(factory=set)
+    stale_target: replica.Replica | None = None
     begun: bool = False
     last_event: int | None = None
     origin: stream_origin.StreamOrigin | None = None
--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -62,6 +62,11 @@
                 step = self.script[min(len(self.heads), len(self.script)) - 1]
                 step(connection, fields)
 
+    def stop_listening(self):
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def close(self):
         self.listener.close()
 
@@ -92,6 +97,16 @@
     connection.shutdown(socket.SHUT_RDWR)
 
 
+def crash(target):
+    """Return a step that ends a target; new connections are refused."""
+
+    def step(connection, fields):
+        target().stop_listening()
+        drop(connection, fields)
+
+    return step
+
+
 def drop_after(event):
     """Return a step that waits for an event, then shuts down."""
 
--- a/tests/targets/test_forwarder.py
+++ b/tests/targets/test_forwarder.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import attrs
 import pytest
 
 from chestnutshunt.deployment import destination
@@ -224,6 +225,69 @@
     assert sum(len(fake.heads) for fake in targets) == 2
 
 
+def make_fragile(target, name, answer):
+    """Return a target that answers once and then crashes."""
+    made = target(name, answer, fake_target.crash(lambda: made))
+    return made
+
+
+def warm_up(harness, *targets):
+    """Leave an idle connection to each target."""
+    request = attrs.evolve(harness.request(), id='warm-up', body=b'usual')
+    for fake in targets:
+        with harness.forwarder.exchanger.exchange(
+            fake.replica(), request, 2.0, False, harness.cancel_token
+        ) as response:
+            response.body()
+
+
+# Guards against BUDGET: a crash on a pooled connection was taken for the close
+# of an idle one, so the request went on to every target.
+def test_request_that_crashes_targets_on_idle_connections(target):
+    targets = [
+        make_fragile(target, f't{n}', fake_target.respond()) for n in range(4)
+    ]
+    harness = Harness(*targets)
+    warm_up(harness, *targets)
+    with pytest.raises(errors.TargetFailed):
+        harness.send(make_route(attempts=2))
+    assert sum(len(fake.heads) == 2 for fake in targets) == 2
+    with pytest.raises(errors.Quarantined):
+        harness.send(make_route(attempts=2))
+
+
+# Guards against BUDGET: the target is back, as another process, before the
+# request is sent to it again.
+def test_crash_of_a_target_that_is_back_at_once(target):
+    refuse = fake_target.respond(421, b'', '')
+    targets = [
+        target(f't{n}', fake_target.respond(), fake_target.drop, refuse)
+        for n in range(4)
+    ]
+    harness = Harness(*targets)
+    warm_up(harness, *targets)
+    with pytest.raises(errors.TargetFailed):
+        harness.send(make_route(attempts=2))
+    with pytest.raises(errors.Quarantined):
+        harness.send(make_route(attempts=2))
+    assert sum(len(fake.heads) > 1 for fake in targets) == 2
+
+
+def test_idle_connection_that_was_closed_is_no_crash(target):
+    """The request is sent again, on a new connection, and to the same target.
+
+    A target closes connections that were idle, at times when a request is on
+    its way.
+    """
+    step = fake_target.respond(200, b'own')
+    targets = [target(f't{n}', step, fake_target.drop, step) for n in range(2)]
+    harness = Harness(*targets)
+    warm_up(harness, *targets)
+    assert harness.send(make_route(attempts=1)).body == b'own'
+    assert sorted(len(fake.heads) for fake in targets) == [1, 3]
+    assert not harness.state.quarantine.snapshot()
+
+
 def test_caller_disconnect_frees_the_target(target):
     first = target('t1', fake_target.wait_for_disconnect)
     harness = Harness(first)
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -14,16 +14,17 @@
 from tests import fake_target
 from tests import fleet_parts
 from tests.targets import test_endless_answers
+from tests.targets import test_forwarder
 
 
-def make_route(resumable):
+def make_route(resumable, attempts=3):
     return route.Route(
         'r',
         'h',
         '/p/',
         route_kind.RouteKind.STREAM,
         timeout_s=5.0,
-        max_attempts=3,
+        max_attempts=attempts,
         resumable=resumable,
         destinations=(destination.Destination('s'),),
     )
@@ -39,15 +40,25 @@
             for fake, version in zip(targets, versions, strict=True)
         ),
     )
-    forwarder = stream_forwarder.StreamForwarder(
-        state, fleet_parts.make_exchanger(state), random.Random(1)
+    return open_at(make_forwarder(state), resumable)
+
+
+def make_forwarder(state, exchanger=None):
+    return stream_forwarder.StreamForwarder(
+        state,
+        exchanger or fleet_parts.make_exchanger(state),
+        random.Random(1),
     )
+
+
+def open_at(forwarder, resumable, attempts=3):
+    deadline = forwarder.state.clock.monotonic() + 5
     request = target_request.TargetRequest(
-        'q1', 'POST', '/p/', 'h', (), b'', 'w', state.clock.monotonic() + 5
+        'q1', 'POST', '/p/', 'h', (), b'', 'w', deadline
     )
     return forwarder.open(
         request,
-        make_route(resumable),
+        make_route(resumable, attempts),
         cancel_token.CancelToken(),
         lambda: True,
     )
@@ -116,6 +127,47 @@
     assert not [x for x in heads if 'last-event-id' in x]
 
 
+# Guards against BUDGET: streams never told which requests crash targets.
+def test_stream_that_crashes_targets_is_quarantined(target):
+    targets = [target(f't{n}', fake_target.drop) for n in range(4)]
+    state = fleet_parts.make_state()
+    fleet_parts.register(state, *(fake.replica() for fake in targets))
+    forwarder = make_forwarder(state)
+    with pytest.raises(errors.TargetFailed):
+        open_at(forwarder, True, attempts=2)
+    with pytest.raises(errors.Quarantined):
+        open_at(forwarder, True, attempts=2)
+    assert sum(len(fake.heads) for fake in targets) == 2
+
+
+def test_stream_on_idle_connections_crashes_as_many_targets(target):
+    """The same when its requests find connections in the pool."""
+    targets = [
+        target(f't{n}', fake_target.respond(), fake_target.drop)
+        for n in range(4)
+    ]
+    harness = test_forwarder.Harness(*targets)
+    test_forwarder.warm_up(harness, *targets)
+    forwarder = make_forwarder(harness.state, harness.forwarder.exchanger)
+    for expected in (errors.TargetFailed, errors.Quarantined):
+        with pytest.raises(expected):
+            open_at(forwarder, True, attempts=2)
+    assert sum(len(fake.heads) > 1 for fake in targets) == 2
+
+
+def test_crash_after_the_first_event_is_not_held_against_a_stream(target):
+    step = fake_target.events(1, 2, complete=False)
+    targets = [target(f't{n}', step) for n in range(4)]
+    state = fleet_parts.make_state()
+    fleet_parts.register(state, *(fake.replica() for fake in targets))
+    forwarder = make_forwarder(state)
+    for _ in range(3):
+        response = open_at(forwarder, True, attempts=2)
+        with pytest.raises(errors.TargetFailed):
+            list(response.chunks)
+    assert not state.quarantine.snapshot()
+
+
 ERRORS = {
     'empty failure': fake_target.respond(500, b''),
     'failure': fake_target.respond(500, b'Internal error\n\n'),
