Reject responses whose head or last chunk is cut off by a close

Cause: http.client takes the end of a connection for the end of a head, so that headers are missing or cut, and a response without a length has an empty body. urllib3 takes the cut-off size of a chunk for the last chunk.

Ruled out: late second answers (test_late_second_response_is_not_used_for_a_retry, unchanged).

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_socket.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_socket.py
@@ -21,11 +21,14 @@
         Steady time in seconds after which no more is read.
     bytes_left : int or None
         Bytes that may still be read.
+    ended : bool
+        True once a read has met the end of the connection.
     """
 
     silence_s: float | None = None
     read_until: float | None = None
     bytes_left: int | None = None
+    ended: bool = False
 
     def settimeout(self, value: float | None) -> None:
         """Set the longest time of one read or write in seconds."""
@@ -51,6 +54,7 @@
                 left_s = min(left_s, self.silence_s)
             super().settimeout(left_s)
         count = super().recv_into(*args, **kwargs)
+        self.ended = self.ended or not count
         if self.bytes_left is not None:
             self.bytes_left -= count
         return count
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
@@ -88,12 +88,21 @@
         with target_call.translate_body_errors(self.target_id):
             if self.http_response.chunked:
                 yield from self.http_response.read_chunked(CHUNK_BYTES)
+                self.check_last_chunk()
             else:
                 while data := self.http_response.read1(CHUNK_BYTES):
                     yield data
                 self.check_length()
         self.complete = True
 
+    def check_last_chunk(self) -> None:
+        """Raise `ProtocolError` if the connection ended in the last chunk.
+
+        What looks like the last chunk may be the cut-off size of another.
+        """
+        if self.sock.ended:
+            raise urllib3.exceptions.ProtocolError('last chunk cut off')
+
     def check_length(self) -> None:
         """Raise `ProtocolError` for a body shorter than Content-Length."""
         missing_bytes = self.http_response.length_remaining
--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -107,6 +107,41 @@
     return step
 
 
+class Recorder:
+    """Collects the bytes that a step sends."""
+
+    def __init__(self):
+        self.data = b''
+
+    def sendall(self, data):
+        self.data += data
+
+    def shutdown(self, how):
+        pass
+
+
+def cut_off(step, size):
+    """Return a step that sends a part of another's bytes and then ends.
+
+    The part has `size` bytes, or lacks as many at the end if negative.
+    """
+
+    def cut_step(connection, fields):
+        recorder = Recorder()
+        step(recorder, fields)
+        connection.sendall(recorder.data[:size])
+        drop(connection, fields)
+
+    return cut_step
+
+
+def sent_bytes(step, request_id):
+    """Return how many bytes a step sends."""
+    recorder = Recorder()
+    step(recorder, {'x-request-id': request_id})
+    return len(recorder.data)
+
+
 def drop_after(event):
     """Return a step that waits for an event, then shuts down."""
 
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -25,6 +25,15 @@
         made.close()
 
 
+# Guards against writes taken for confirmed: the reply was cut off in its head.
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_no_part_of_a_reply_is_a_success(server, method):
+    step = fake_target.respond(200, b'{"a": 1}')
+    for size in range(fake_target.sent_bytes(step, 'q1')):
+        outcome = call(server(fake_target.cut_off(step, size)), method)
+        assert isinstance(outcome, result.Failure), size
+
+
 def call(address, method='GET'):
     client = json_client.JsonClient(CALL_S, 1)
     value = {} if method == 'POST' else None
