Apply changes of the configuration one after the other

What callers saw: requests run by a service to which only an older version of the configuration sends them, at one daemon of eight (the users' record, CONFIG).

Cause: several threads apply changes, each after its own pull or read. The check that a configuration is not older than the one in force and its assignment were not one step, so an older change could replace a newer one and stay until the next change, while each digest confirmed it.

Change: both happen under a lock, and the newest stored object is read under it. The registered daemons and the observed software versions were taken over in the same way; they have locks now, too.

Evidence: test_config_changes failed before (version 2 in force instead of 3); tests/fleet, load, peers and streams pass. That the record's cases are this fault is suspected only; see the postmortem for what the record lacks.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -20,6 +20,7 @@
 from chestnutshunt.replicas import replica_view
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import kind_mirror
+from chestnutshunt.store import stored_object
 from chestnutshunt.streams import origin_table
 from chestnutshunt.streams import software_history
 from chestnutshunt.streams import software_record
@@ -137,6 +138,7 @@
         self.quarantine = quarantine.Quarantine(self.clock)
         self.metrics = fleet_metrics.FleetMetrics()
         self.deployment: deployment.Deployment | None = None
+        self.config_lock = threading.Lock()
         self.peers: dict[str, peer_info.PeerInfo] = {}
         self.leaves_by_hub: dict[str, tuple[float, frozenset[str]]] = {}
         self.store_read_s = -1.0
@@ -160,13 +162,18 @@
     def apply_config(self) -> None:
         """Put the newest configuration in force.
 
-        A malformed or an older configuration is logged and ignored.
+        A malformed or an older configuration is logged and ignored. Several
+        threads may call this at once, each after another change.
         """
-        stored = self.mirrors[self.schema.config_kind].get(
-            self.schema.config_name
-        )
-        if stored is None:
-            return
+        with self.config_lock:
+            stored = self.mirrors[self.schema.config_kind].get(
+                self.schema.config_name
+            )
+            if stored is not None:
+                self.apply_stored_config(stored)
+
+    def apply_stored_config(self, stored: stored_object.StoredObject) -> None:
+        """Put a configuration in force unless it is older; needs the lock."""
         try:
             decoded = self.schema.decode_config(stored.value)
         except (KeyError, TypeError, ValueError) as exc:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/topology_view.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/topology_view.py
@@ -1,6 +1,7 @@
 """View that a daemon has of the registered daemons and of its links."""
 
 import logging
+import threading
 
 from chestnutshunt import clock
 from chestnutshunt.membership import fleet_member
@@ -51,6 +52,7 @@
         self.own = own
         self.mirror = mirror
         self.clock = clock
+        self.lock = threading.Lock()
         self.members: dict[str, fleet_member.FleetMember] = {}
         self.unreachable: set[str] = set()
         self.changed_at = clock.monotonic()
@@ -61,7 +63,15 @@
         mirror.listeners.append(self.read_members)
 
     def read_members(self) -> None:
-        """Read the registrations; malformed ones are logged and ignored."""
+        """Read the registrations; malformed ones are logged and ignored.
+
+        Several threads may call this at once, each after another change.
+        """
+        with self.lock:
+            self.read_members_locked()
+
+    def read_members_locked(self) -> None:
+        """Read the registrations; needs the lock."""
         members = {}
         for stored in self.mirror.values():
             try:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import threading
 
 from chestnutshunt.deployment import route
 from chestnutshunt.replicas import replica_view
@@ -49,6 +50,7 @@
         self.view = view
         self.table = table
         self.history = history
+        self.lock = threading.Lock()
         self.publish: Callable[[str, stream_origin.StreamOrigin], None] = (
             lambda request_id, origin: None
         )
@@ -57,10 +59,14 @@
         view.mirror.listeners.append(self.observe)
 
     def observe(self) -> None:
-        """Record the origins of the registered targets."""
-        self.history.observe(
-            target.origin for target in list(self.view.replicas.values())
-        )
+        """Record the origins of the registered targets.
+
+        Several threads may call this at once, each after another change.
+        """
+        with self.lock:
+            self.history.observe(
+                target.origin for target in list(self.view.replicas.values())
+            )
 
     def begin(
         self, request_id: str, origin: stream_origin.StreamOrigin
