Pull announced changes from several peers at once

Cause: the daemon that sorts last calls no peer and gets all changes through one queue, one thread and 0.8 s for each peer that does not reply. Such a peer was queued once for each of its heartbeats, so sound peers waited without bound, and the daemon's own read of the store comes after up to 4.2 s.

Change: a peer waits once, three threads pull, kinds that another peer has brought are left out, the configuration first. A configuration that was announced and has not come after 0.3 of the time allowed is read from the store, at a leaf after 0.5, as its hubs are asked in turn.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -166,7 +166,6 @@
         )
         loops: dict[str, Callable[[], None]] = {
             'mesh': mesh.run,
-            'pulls': mesh.run_pulls,
             'leaf-links': mesh.leaf_links.run,
             'permits': permit_client.PermitClient(state, clients, broker).run,
             'origins': relay.run,
@@ -185,6 +184,8 @@
                 state, holder, store
             ).run,
         }
+        for number in range(fleet_mesh.PULL_THREAD_COUNT):
+            loops[f'pulls-{number}'] = mesh.run_pulls
         for kind, period_s in read_periods_s(state).items():
             reader = mirror_reader.MirrorReader(
                 state, adapter.store, kind, period_s
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/mirror_reader.py
@@ -41,6 +41,11 @@
 PROBE_PERIOD_S = 1.0
 LEAF_PROBE_PERIOD_S = 3.0
 
+# Part of the time that a change of the configuration may take after which a
+# daemon reads one from the store that its peers have announced.
+HUB_PULL_RATIO = 0.3
+LEAF_PULL_RATIO = 0.5
+
 # Least and longest time between two checks of whether a read is due.
 POLL_S = 0.1
 MAX_POLL_S = 0.5
@@ -97,6 +102,8 @@
             return True
         if not self.state.is_hub and self.is_store_lost():
             return False
+        if self.is_pull_overdue():
+            return True
         return self.mirror.age_s >= self.due_age_s()
 
     def due_age_s(self) -> float:
@@ -136,6 +143,16 @@
             period_s = LEAF_PROBE_PERIOD_S
         return self.is_store_lost() and now - self.read_at > period_s
 
+    def is_pull_overdue(self) -> bool:
+        """Return whether a change of the configuration does not get here.
+
+        A peer has announced it, but no pull has brought it.
+        """
+        if self.kind != self.state.schema.config_kind:
+            return False
+        ratio = HUB_PULL_RATIO if self.state.is_hub else LEAF_PULL_RATIO
+        return self.mirror.behind_s > ratio * self.state.config.config_s
+
     def is_discovering(self) -> bool:
         """Return whether registrations may come in quick succession."""
         now = self.state.clock.monotonic()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_mesh.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_mesh.py
@@ -1,7 +1,6 @@
 """Registers this daemon and maintains the links to its peers."""
 
 import logging
-import queue
 import threading
 
 import grpc
@@ -17,14 +16,19 @@
 from chestnutshunt_daemon.peers import fleet_link
 from chestnutshunt_daemon.peers import heartbeat_exchange
 from chestnutshunt_daemon.peers import leaf_links
+from chestnutshunt_daemon.peers import pull_queue
 
-__all__ = ['FleetMesh']
+__all__ = ['PULL_THREAD_COUNT', 'FleetMesh']
 
 LOG = logging.getLogger(__name__)
 
 # Longest wait for a pull before checking whether the daemon stops.
 PULL_WAIT_S = 1.0
 
+# Peers that are pulled from at once. More than the daemons that trouble on one
+# VM or link usually affects.
+PULL_THREAD_COUNT = 3
+
 # Time between two updates of the links to the registered daemons.
 REVIEW_PERIOD_S = 0.5
 
@@ -73,11 +77,9 @@
         self.first_seen_at: dict[str, float] = {}
         self.is_registered = False
         self.wake_event = threading.Event()
-        self.pull_queue: queue.SimpleQueue = queue.SimpleQueue()
+        self.pull_queue = pull_queue.PullQueue()
         state.wake_peers = self.wake
-        state.pull_from = lambda address, kinds: self.pull_queue.put(
-            (address, kinds)
-        )
+        state.pull_from = self.pull_queue.add
 
     def wake(self) -> None:
         """Send heartbeats now, to announce a change.
@@ -135,22 +137,37 @@
         return bool(view.members) and now - view.changed_at > START_SETTLED_S
 
     def run_pulls(self) -> None:
-        """Pull from peers whose heartbeats announced newer objects."""
+        """Pull from peers whose heartbeats announced newer objects.
+
+        Several threads run this.
+        """
         while not self.state.stopped.is_set():
-            try:
-                address, kinds = self.pull_queue.get(timeout=PULL_WAIT_S)
-            except queue.Empty:
+            with self.pull_queue.take(PULL_WAIT_S) as (address, kinds):
+                self.pull(address, kinds)
+
+    def pull(self, address: str, kinds: set[str]) -> None:
+        """Pull the kinds that have not come from another peer meanwhile.
+
+        The configuration is pulled first.
+        """
+        config_kind = self.state.schema.config_kind
+        for kind in sorted(kinds, key=lambda kind: kind != config_kind):
+            if not self.state.mirrors[kind].is_behind:
                 continue
             try:
-                for kind in kinds:
-                    heartbeat_exchange.pull(
-                        self.state, self.clients.stub(address), kind
-                    )
+                heartbeat_exchange.pull(
+                    self.state, self.clients.stub(address), kind
+                )
             except grpc.RpcError as exc:
                 LOG.info(
                     'Objects could not be pulled from a peer',
-                    extra={'peer': address, 'error': str(exc.code())},
+                    extra={
+                        'peer': address,
+                        'kind': kind,
+                        'error': str(exc.code()),
+                    },
                 )
+                return
 
     def register(self) -> bool:
         """Write this daemon's registration; return whether it succeeded."""
--- a/packages/chestnutshunt/chestnutshunt/store/kind_mirror.py
+++ b/packages/chestnutshunt/chestnutshunt/store/kind_mirror.py
@@ -72,6 +72,11 @@
     confirmed_at : float or None
         Monotonic time in seconds at which the mirror was complete;
         ``None`` before the first read.
+    announced : int
+        Latest store revision of a change that a peer has announced.
+    behind_since : float
+        Monotonic time in seconds since which such a change has been missing
+        here; counts only while `is_behind`.
     confirmation_gap_s : float
         Seconds between the last two confirmations.
     removed : dict of str to int
@@ -87,6 +92,8 @@
         self.through = 0
         self.changed = 0
         self.confirmed_at: float | None = None
+        self.announced = 0
+        self.behind_since = 0.0
         self.confirmation_gap_s = 0.0
         self.removed: dict[str, int] = {}
         self.history_start = 0
@@ -100,6 +107,18 @@
             return float('inf')
         return self.clock.monotonic() - self.confirmed_at
 
+    @property
+    def is_behind(self) -> bool:
+        """True if nothing was read yet, or an announced change is missing."""
+        return self.confirmed_at is None or self.announced > self.through
+
+    @property
+    def behind_s(self) -> float:
+        """Seconds for which an announced change has been missing."""
+        if self.announced <= self.through:
+            return 0.0
+        return self.clock.monotonic() - self.behind_since
+
     def digest(self) -> KindDigest:
         """Return the state of the mirror for a heartbeat."""
         with self.lock:
@@ -248,6 +267,9 @@
             if peer.age_s < 0 or peer.through < self.through:
                 return False
             if peer.changed > self.through or self.confirmed_at is None:
+                if self.announced <= self.through:
+                    self.behind_since = self.clock.monotonic()
+                self.announced = max(self.announced, peer.changed)
                 return True
             self.through = peer.through
             self.confirm(sent_at - peer.age_s)
--- a/tests/fleet/test_mirror_reader.py
+++ b/tests/fleet/test_mirror_reader.py
@@ -4,6 +4,7 @@
 
 from chestnutshunt import manual_clock
 from chestnutshunt.membership import topology
+from chestnutshunt.store import kind_mirror
 from chestnutshunt.store import memory_store
 from chestnutshunt_daemon.fleet import fleet_settings
 from chestnutshunt_daemon.fleet import fleet_state
@@ -112,3 +113,31 @@
 def test_a_seed_reads_at_once():
     harness = Harness(seed_addresses=['10.0.0.9:7'])
     assert harness.due_kinds()
+
+
+# Guards against CONFIG: a daemon kept asking peers that did not reply.
+@pytest.mark.parametrize('is_leaf', [False, True])
+def test_announced_configuration_that_does_not_come_is_read(is_leaf):
+    harness = Harness()
+    for name in ('a', 'b', 'c', 'e'):
+        hear(harness.state, name)
+    if is_leaf:
+        harness.be_leaf()
+    harness.state.store_read_s = 0.004
+    harness.state.reader_rank = lambda kind: 1
+    harness.confirm()
+    harness.clock.advance(0.1)
+    kind = harness.state.schema.config_kind
+    mirror = harness.state.mirrors[kind]
+    mirror.apply_digest(
+        kind_mirror.KindDigest(9, 9, 0.0), harness.clock.monotonic()
+    )
+    assert kind not in harness.due_kinds()
+    harness.clock.advance(0.6 * harness.state.config.config_s)
+    for name in ('a', 'b', 'c', 'e'):
+        hear(harness.state, name)
+    reader = harness.readers[kind]
+    assert mirror.age_s < reader.due_age_s()
+    assert kind in harness.due_kinds()
+    mirror.apply_listing(9, (), harness.clock.monotonic())
+    assert not mirror.behind_s
