Ask the hubs before the only known version decides about a stream

Cause: a daemon that knew one version only did not ask. That relies on streams not beginning at a version in the first 2 s, which does not hold if no other version serves.

Change: the hubs are asked first, and at least two of three must reply before the only version counts; a leaf relies on its hub's word. A stream at a version that is not settled is delivered to its hubs before its first event.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
@@ -188,7 +188,10 @@
         self, request: fleet_pb2.OriginQuery, context: grpc.ServicerContext
     ) -> fleet_pb2.OriginAnswer:
         """Return the origin of a stream if it is known."""
-        origin = self.relay.find(request.request, request.relayed)
+        try:
+            origin = self.relay.find(request.request, request.relayed)
+        except errors.NotReady:
+            return fleet_pb2.OriginAnswer(found=False, in_doubt=True)
         if origin is None:
             return fleet_pb2.OriginAnswer(found=False)
         return fleet_pb2.OriginAnswer(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_relay.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_relay.py
@@ -10,6 +10,7 @@
 
 import grpc
 
+from chestnutshunt import errors
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.streams import stream_origin
 from chestnutshunt_daemon.fleet import fleet_state
@@ -62,6 +63,7 @@
         self.lock = threading.Lock()
         self.added = threading.Event()
         state.origins.publish = lambda name, origin: self.add({name: origin})
+        state.origins.publish_at_once = self.deliver_at_once
         state.origins.find_elsewhere = self.find
 
     def add(self, origins: Origins) -> None:
@@ -129,6 +131,14 @@
             return False
         return True
 
+    def deliver_at_once(
+        self, request_id: str, origin: stream_origin.StreamOrigin
+    ) -> None:
+        """Send one origin now; it is queued if a hub does not take it."""
+        for address in self.addresses(request_id, HOME_COUNT):
+            if not self.send(address, {request_id: origin}):
+                self.add({request_id: origin})
+
     def accept(self, origins: Origins, relayed: bool) -> None:
         """Keep origins that a peer has sent; a leaf's are passed on.
 
@@ -140,9 +150,10 @@
             Whether the sender took this daemon for a hub that keeps them.
         """
         for request_id, origin in origins.items():
-            self.state.origins.table.record(request_id, origin)
-        if not relayed:
-            self.add(origins)
+            if relayed:
+                self.state.origins.table.record(request_id, origin)
+            else:
+                self.state.origins.begin(request_id, origin)
 
     def find(
         self, request_id: str, relayed: bool = False
@@ -155,34 +166,64 @@
             Request that began the stream.
         relayed : bool, optional
             Whether another hub asks; then only this daemon is looked at.
+
+        Raises
+        ------
+        NotReady
+            Too few of the hubs that may know the origin could be asked.
         """
         known = self.state.origins.table.find(request_id)
         if known is not None or relayed:
             return known
-        query = fleet_pb2.OriginQuery(
-            request=request_id, relayed=self.state.is_hub
-        )
-        for address in self.addresses(request_id, ASKED_COUNT):
-            try:
-                reply = self.clients.stub(address).FindOrigin(
-                    query, timeout=CALL_TIMEOUT_S
-                )
-            except grpc.RpcError as exc:
-                LOG.info(
-                    'Peer not asked for the origin of a stream',
-                    extra={
-                        'peer': address,
-                        'begun_by': request_id,
-                        'error': str(exc.code()),
-                    },
-                )
+        addresses = self.addresses(request_id, ASKED_COUNT)
+        reply_count = 0
+        for address in addresses:
+            reply = self.ask(address, request_id)
+            if reply is None or reply.in_doubt:
                 continue
             if reply.found:
                 return stream_origin.StreamOrigin(
                     reply.origin.service, reply.origin.software
                 )
+            reply_count += 1
+        if reply_count < self.needed_count(addresses):
+            raise errors.NotReady(
+                'Too few peers could be asked for the origin of a stream.'
+            )
         return None
 
+    def needed_count(self, addresses: list[str]) -> int:
+        """Return how many hubs must reply that they do not know an origin.
+
+        Two of the three that are asked include a hub that was sent it.
+        """
+        others = len(self.state.topology.members) - 1
+        if not self.state.is_hub:
+            return len(addresses)
+        return min(ASKED_COUNT - HOME_COUNT + 1, max(others, 0))
+
+    def ask(
+        self, address: str, request_id: str
+    ) -> fleet_pb2.OriginAnswer | None:
+        """Return a hub's answer, ``None`` if it does not reply."""
+        query = fleet_pb2.OriginQuery(
+            request=request_id, relayed=self.state.is_hub
+        )
+        try:
+            return self.clients.stub(address).FindOrigin(
+                query, timeout=CALL_TIMEOUT_S
+            )
+        except grpc.RpcError as exc:
+            LOG.info(
+                'Peer not asked for the origin of a stream',
+                extra={
+                    'peer': address,
+                    'begun_by': request_id,
+                    'error': str(exc.code()),
+                },
+            )
+            return None
+
     def addresses(self, request_id: str, count: int) -> list[str]:
         """Return the addresses of the first hubs for a request.
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
@@ -5,6 +5,7 @@
 import threading
 
 from chestnutshunt.deployment import route
+from chestnutshunt import errors
 from chestnutshunt.replicas import replica_view
 from chestnutshunt.streams import origin_table
 from chestnutshunt.streams import software_history
@@ -34,8 +35,11 @@
     ----------
     publish : callable
         Passes the request id and origin of a new stream on to peers.
+    publish_at_once : callable
+        Does that before it returns.
     find_elsewhere : callable
-        Returns an origin that peers know.
+        Returns an origin that peers know; raises `NotReady` if too few of
+        them could be asked.
     has_record : callable
         Returns whether the versions of some services that were in use before
         this daemon started are known.
@@ -54,6 +58,7 @@
         self.publish: Callable[[str, stream_origin.StreamOrigin], None] = (
             lambda request_id, origin: None
         )
+        self.publish_at_once = self.publish
         self.find_elsewhere: FindOrigin = lambda request_id: None
         self.has_record: Callable[[list[str]], bool] = lambda services: False
         view.mirror.listeners.append(self.observe)
@@ -71,9 +76,16 @@
     def begin(
         self, request_id: str, origin: stream_origin.StreamOrigin
     ) -> None:
-        """Record the origin of a stream of which the first event came."""
+        """Record the origin of a stream of which the first event came.
+
+        A daemon that does not know the origin yet must hear of the stream
+        before its caller can take it up there.
+        """
         self.table.record(request_id, origin)
-        self.publish(request_id, origin)
+        if self.history.is_settled(origin):
+            self.publish(request_id, origin)
+        else:
+            self.publish_at_once(request_id, origin)
 
     def find(
         self, position: stream_position.StreamPosition, route: route.Route
@@ -81,13 +93,18 @@
         """Return the origin of a stream, ``None`` if it is in doubt."""
         services = [item.service for item in route.destinations]
         source = 'table'
+        in_doubt = False
         origin = self.table.find(position.begun_by)
         if origin is None:
+            source = 'peer'
+            if position.begun_by:
+                try:
+                    origin = self.find_elsewhere(position.begun_by)
+                except errors.NotReady:
+                    in_doubt = True
+        if origin is None and not in_doubt:
             source = 'only version'
             origin = self.only_origin(services)
-        if origin is None and position.begun_by:
-            source = 'peer'
-            origin = self.find_elsewhere(position.begun_by)
         if origin is not None and position.begun_by:
             self.table.record(position.begun_by, origin)
         LOG.info(
@@ -96,6 +113,7 @@
                 'begun_by': position.begun_by,
                 'after': position.last_event,
                 'source': source if origin else 'unknown',
+                'in_doubt': in_doubt,
                 'software': origin.software if origin else None,
                 'recent': sorted(
                     x.software for x in self.history.recent(services)
