Send nothing more to targets that say in a response that they leave

Change: the exchange notes the process (id and start) of the target, for requests, items, scoring calls, streams, retries and hedges alike; the view of targets leaves it out, whatever its registration says, until another process registers. A 421 comes from another process and is left out of this.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -145,7 +145,11 @@
         state.replicas.has_connection = pool.has_idle
         store = relayed_store.RelayedStore(state, adapter.store, clients)
         exchanger = exchange.Exchanger(
-            pool, adapter.target_codec, state.clock, state.rate_gate
+            pool,
+            adapter.target_codec,
+            state.clock,
+            state.rate_gate,
+            state.replicas.leaving_targets,
         )
         rng = random.Random()
         forwards = forwarder.Forwarder(state, exchanger, rng)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
@@ -60,7 +60,7 @@
                 'id': target.id,
                 'service': target.service,
                 'datacentre': target.datacentre,
-                'leaving': target.leaving,
+                'leaving': state.replicas.is_leaving(target),
                 'load': state.replicas.load(target),
                 'slots': target.slots,
                 'sound': state.replicas.is_healthy(target),
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -12,6 +12,7 @@
 from chestnutshunt.attempts import progress
 from chestnutshunt import clock
 from chestnutshunt.ratelimit import rate_gate
+from chestnutshunt.replicas import leaving_targets
 from chestnutshunt.replicas import replica
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import headers
@@ -61,6 +62,8 @@
         Clock of deadlines.
     gate : RateGate
         Records the rate limits of targets and holds back requests.
+    leaving : LeavingTargets
+        Records which targets say that they are shutting down.
     """
 
     def __init__(
@@ -69,11 +72,13 @@
         codec: target_codec.TargetCodec,
         clock: clock.Clock,
         gate: rate_gate.RateGate,
+        leaving: leaving_targets.LeavingTargets,
     ) -> None:
         self.pool = pool
         self.codec = codec
         self.clock = clock
         self.gate = gate
+        self.leaving = leaving
 
     @contextlib.contextmanager
     def exchange(
@@ -269,6 +274,8 @@
                 progress.Progress.MAY_HAVE_RUN,
                 stale=pending.reused,
             )
+        if head.leaving and not head.other_process:
+            self.leaving.add(pending.replica, pending.request.id)
         self.gate.limits.observe(
             pending.replica, head.rate_limit, pending.sent_at
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/response_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/response_head.py
@@ -22,6 +22,8 @@
     other_process : bool
         True if another process than the one that was named has taken the
         target's address.
+    leaving : bool
+        True if the target says that it is shutting down.
     running, waiting : int or None
         Requests that run and wait at the target, if it reports them.
     version : int or None
@@ -38,6 +40,7 @@
     signature: str
     not_run: bool
     other_process: bool = False
+    leaving: bool = False
     running: int | None = None
     waiting: int | None = None
     version: int | None = None
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -11,6 +11,7 @@
 import attrs
 
 from chestnutshunt import clock
+from chestnutshunt.replicas import leaving_targets
 from chestnutshunt.replicas import place
 from chestnutshunt.replicas import replica
 from chestnutshunt.replicas import replica_state
@@ -109,6 +110,7 @@
         self.lock = threading.RLock()
         self.replicas: dict[str, replica.Replica] = {}
         self.states: dict[str, replica_state.ReplicaState] = {}
+        self.leaving_targets = leaving_targets.LeavingTargets()
         self.lapsed_replicas: dict[str, tuple[float, replica.Replica]] = {}
         self.peer_loads: dict[str, tuple[float, dict[str, int]]] = {}
         self.usual_intervals: dict[str, tuple[float, float]] = {}
@@ -168,7 +170,7 @@
             return
         now = self.clock.monotonic()
         for name, target in self.replicas.items():
-            if name not in registered and not target.leaving:
+            if name not in registered and not self.is_leaving(target):
                 self.lapsed_replicas[name] = (now + LAPSE_GRACE_S, target)
                 LOG.info(
                     'Target missing after an outage is kept for a while',
@@ -210,9 +212,17 @@
         return [
             target
             for target in self.list_all()
-            if target.service == service and not target.leaving
+            if target.service == service and not self.is_leaving(target)
         ]
 
+    def is_leaving(self, target: replica.Replica) -> bool:
+        """Return whether a target is shutting down.
+
+        It says so in its registration or in a response, whichever comes
+        first.
+        """
+        return target.leaving or target in self.leaving_targets
+
     def load(self, target: replica.Replica) -> int:
         """Return the estimated number of requests at a target.
 
--- a/tests/fleet_parts.py
+++ b/tests/fleet_parts.py
@@ -50,7 +50,13 @@
 def make_exchanger(state):
     pool = connection_pool.ConnectionPool(state.clock)
     codec = target_codec.PlatformTargetCodec()
-    return exchange.Exchanger(pool, codec, state.clock, state.rate_gate)
+    return exchange.Exchanger(
+        pool,
+        codec,
+        state.clock,
+        state.rate_gate,
+        state.replicas.leaving_targets,
+    )
 
 
 def make_forwarder(state):
