Handle a caller's request only once its body is whole

Cause: cheroot's readers return what has come when the connection ends. The end of a body in chunks was not read at all, so that a cut-off size 0 was the last chunk.

Change: the length is compared, and the last chunk is read with its trailers.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_server.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_server.py
@@ -44,7 +44,7 @@
         request = self.req
         own_server = request.server
         try:
-            body = request.rfile.read()
+            body = read_body(request)
         except (OSError, ValueError) as exc:
             LOG.info('Could not read the body of a request: %r', exc)
             request.close_connection = True
@@ -96,6 +96,23 @@
             request.close_connection = True
 
 
+def read_body(request: server.HTTPRequest) -> bytes:
+    """Return the whole body; raises `ValueError` if the caller ends it early.
+
+    cheroot returns what has come when the connection ends.
+    """
+    body = request.rfile.read()
+    if request.chunked_read:
+        # What looks like the last chunk may be the cut-off size of another.
+        for line in request.rfile.read_trailer_lines():
+            LOG.info('Trailer of a request ignored: %r', line)
+        return body
+    length = int(request.inheaders.get(b'Content-Length', 0))
+    if len(body) < length:
+        raise ValueError(f'The body ends after {len(body)} of {length} bytes.')
+    return body
+
+
 class CallerServer(http_server.LoggingServer):
     """Server that counts its requests in flight, for draining."""
 
