Drop headers that frame a request from those of an item

Cause: headers of items were forwarded as they were in the job.

Change: the exchange drops headers that concern the connection for all requests; for items those that resume a stream and the key as well.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -9,6 +9,7 @@
 from chestnutshunt import errors
 from chestnutshunt.jobs import event
 from chestnutshunt.jobs import event_reader
+from chestnutshunt.jobs import item
 from chestnutshunt.jobs import item_state
 from chestnutshunt.jobs import result
 from chestnutshunt.jobs import score_call
@@ -151,7 +152,7 @@
             method='POST',
             path=entry.item.path,
             host=run.job.host,
-            headers=tuple(entry.item.headers.items()),
+            headers=self.item_headers(entry.item),
             body=entry.item.body,
             workspace=run.job.workspace,
             deadline=self.state.clock.monotonic() + ATTEMPT_TIMEOUT_S,
@@ -203,6 +204,18 @@
                 },
             )
 
+    def item_headers(self, own: item.Item) -> tuple[tuple[str, str], ...]:
+        """Return the headers of an item that its target gets.
+
+        Where a text goes on, and the caller's key, are not the item's to say.
+        """
+        dropped = self.exchanger.codec.position_headers | {'authorization'}
+        return tuple(
+            (name, value)
+            for name, value in own.headers.items()
+            if name.lower() not in dropped
+        )
+
     def check_head(
         self,
         run: job_run.JobRun,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -241,9 +241,11 @@
         """Write the request, keeping repeated headers."""
         fields = urllib3.HTTPHeaderDict()
         fields.add('Host', request.host)
-        dropped = {
-            name.lower() for name in reserved
-        } | self.codec.reserved_headers
+        dropped = (
+            {name.lower() for name in reserved}
+            | self.codec.reserved_headers
+            | headers.UNFORWARDED_HEADERS
+        )
         for name, value in request.headers:
             if name.lower() not in dropped:
                 fields.add(name, value)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_codec.py
@@ -17,9 +17,12 @@
     reserved_headers : frozenset of str
         Header names, in lower case, that callers cannot set: their values are
         dropped and replaced by those of the daemon.
+    position_headers : frozenset of str
+        Header names, in lower case, that tell where a stream goes on.
     """
 
     reserved_headers: frozenset[str] = frozenset()
+    position_headers: frozenset[str] = frozenset()
 
     @abc.abstractmethod
     def encode_headers(
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+import attrs
 import pytest
 
 from chestnutshunt.deployment import deployment
@@ -142,6 +143,33 @@
     assert listed.text == 'd1\nd2\nd3'
 
 
+# Guards against UNASKED: with a length of 0 among an item's headers, its body
+# ran as a request of its own.
+def test_headers_of_an_item_do_not_frame_its_request(stack):
+    headers = {
+        'Content-Length': '0',
+        'Transfer-Encoding': 'chunked',
+        'Connection': 'close',
+        'Host': 'other',
+        'Authorization': 'Bearer key',
+        'X-Tenant': 'other',
+        'Last-Event-Id': '7',
+        'X-Own': 'kept',
+    }
+    new_job = make_job()
+    own = attrs.evolve(new_job.items[0], headers=headers, body=b'whole body')
+    harness = Harness(stack)
+    target = harness.add('t1', COMPLETE_STREAM)
+    (listed,) = harness.results(attrs.evolve(new_job, items=(own,)))
+    assert listed.complete
+    ((_, sent),) = target.heads
+    assert target.bodies == [b'whole body']
+    assert sent['x-own'] == 'kept'
+    assert (sent['host'], sent['content-length']) == ('h', '10')
+    names = ('transfer-encoding', 'connection', 'authorization', 'x-tenant')
+    assert not sent.keys() & {*names, 'last-event-id'}
+
+
 def test_resumes_after_the_last_complete_event(stack):
     def cut_or_rest(connection, fields):
         after = int(fields.get('last-event-id', 0))
