Count only crashes since a request was last served

Cause: two crashes under a request were enough, however often it was served in between; a common request is at some target at most crashes.

Change: a response to a request, or the first event of a stream, clears the crashes before it; heartbeats carry that to peers.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -328,6 +328,7 @@
         """Count the outcome of an attempt in metrics and circuit breaker."""
         self.state.metrics.attempts.labels(self.request.service, outcome).inc()
         if outcome == 'answered':
+            self.state.quarantine.record_served(self.digest)
             self.state.load_view.load_of(
                 chosen_target.name
             ).circuit_breaker.record_success()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/heartbeat.py
@@ -16,6 +16,9 @@
 # some 50 bytes.
 MAX_CRASH_COUNT = 200
 
+# Least age of a response of which a peer tells.
+MIN_AGE_S = 0.001
+
 # Rate limits of targets in one heartbeat, those learned last; each takes some
 # 50 bytes.
 MAX_LIMIT_COUNT = 200
@@ -74,11 +77,7 @@
         heartbeat.demands.append(fleet_codec.encode_demand(model, demand))
     for name, left_s in state.replicas.loading_s().items():
         heartbeat.loading.add(replica=name, left_s=left_s)
-    crashes = list(state.quarantine.snapshot().items())
-    for digest, ages in crashes[-MAX_CRASH_COUNT:]:
-        heartbeat.crashes.add(
-            digest=digest, replicas=ages.keys(), ages_s=ages.values()
-        )
+    add_crashes(state, heartbeat)
     for entry in state.rate_gate.limits.snapshot(MAX_LIMIT_COUNT):
         heartbeat.limits.append(fleet_codec.encode_limit(*entry))
     for peer in peers_for(state, for_leaf):
@@ -92,6 +91,20 @@
     return heartbeat
 
 
+def add_crashes(
+    state: fleet_state.FleetState, heartbeat: fleet_pb2.State
+) -> None:
+    """Add the requests under which targets have crashed."""
+    crashes = list(state.quarantine.snapshot().items())
+    for digest, ages in crashes[-MAX_CRASH_COUNT:]:
+        heartbeat.crashes.add(
+            digest=digest, replicas=ages.keys(), ages_s=ages.values()
+        )
+    served = list(state.quarantine.served_ages().items())
+    for digest, age_s in served[-MAX_CRASH_COUNT:]:
+        heartbeat.served.add(digest=digest, age_s=age_s)
+
+
 def primary_hub(state: fleet_state.FleetState) -> str:
     """Return the hub that adds this leaf's loads to its own."""
     hubs = state.topology.current.hubs
@@ -205,6 +218,10 @@
             for entry in message.crashes
         }
     )
+    for entry in message.served:
+        state.quarantine.record_served(
+            entry.digest, max(entry.age_s, MIN_AGE_S)
+        )
     tallies = fleet_codec.decode_tallies(message.tallies, peer.source)
     for source, counts in tallies.items():
         state.counts.set_peer_totals(source, counts)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -405,6 +405,7 @@
             seconds=round(seconds, 4),
         )
         self.state.metrics.attempts.labels('answered').inc()
+        self.state.quarantine.record_served(pending.digest)
         if head.status < 500:
             view.state(target).breaker.record_success()
         for attempt in pending.open_exchanges:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -381,6 +381,7 @@
 
     def note_origin(self, stream: stream_state.StreamState) -> None:
         """Record the origin of a stream when its first event arrives."""
+        self.state.quarantine.record_served(stream.digest)
         stream.origin = stream.target.origin
         if stream.route.resumable:
             self.state.origins.begin(stream.request.id, stream.origin)
--- a/packages/chestnutshunt/chestnutshunt/attempts/quarantine.py
+++ b/packages/chestnutshunt/chestnutshunt/attempts/quarantine.py
@@ -29,7 +29,8 @@
 class Quarantine:
     """Records which targets each request crashed, by request digest.
 
-    Thread-safe.
+    Only crashes since the request was last served count: one that is often at
+    some target when a target crashes is not the cause. Thread-safe.
 
     Parameters
     ----------
@@ -40,6 +41,7 @@
     def __init__(self, clock: clock.Clock) -> None:
         self.clock = clock
         self.crash_times: Crashes = {}
+        self.served_times: dict[str, float] = {}
         self.lock = threading.Lock()
 
     def record_crash(
@@ -58,11 +60,48 @@
         """
         crashed_at = self.clock.monotonic() - age_s
         with self.lock:
+            if crashed_at <= self.served_times.get(digest, float('-inf')):
+                return
             times_by_target = self.crash_times.setdefault(digest, {})
             times_by_target.setdefault(target, crashed_at)
             while len(self.crash_times) > MAX_DIGEST_COUNT:
                 del self.crash_times[next(iter(self.crash_times))]
 
+    def record_served(self, digest: str, age_s: float = 0.0) -> None:
+        """Record that a target has served the request.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        age_s : float, optional
+            Seconds since its response.
+        """
+        if age_s == 0.0 and digest not in self.crash_times:
+            return
+        served_at = self.clock.monotonic() - age_s
+        with self.lock:
+            known = self.served_times.pop(digest, served_at)
+            served_at = max(served_at, known)
+            self.served_times[digest] = served_at
+            while len(self.served_times) > MAX_DIGEST_COUNT:
+                del self.served_times[next(iter(self.served_times))]
+            later = {
+                target: at
+                for target, at in self.crash_times.pop(digest, {}).items()
+                if at > served_at
+            }
+            if later:
+                self.crash_times[digest] = later
+
+    def served_ages(self) -> dict[str, float]:
+        """Return the seconds since requests with crashes were last served."""
+        now = self.clock.monotonic()
+        with self.lock:
+            return {
+                digest: now - at for digest, at in self.served_times.items()
+            }
+
     def refuses(self, digest: str) -> bool:
         """Return whether the request has crashed too many targets."""
         now = self.clock.monotonic()
--- a/tests/peers/test_heartbeat.py
+++ b/tests/peers/test_heartbeat.py
@@ -74,3 +74,22 @@
         one.quarantine.record_crash('digest', target)
     send_heartbeat(one, two)
     assert two.quarantine.refuses('digest')
+
+
+# Guards against DENIED: peers went on refusing a request that another daemon
+# had seen served.
+def test_peers_hear_that_a_request_was_served():
+    clock = manual_clock.ManualClock()
+    one, two = make_state('one', clock), make_state('two', clock)
+    for target in ('t1', 't2'):
+        one.quarantine.record_crash('digest', target)
+        clock.advance(1.0)
+    send_heartbeat(one, two)
+    assert two.quarantine.refuses('digest')
+    clock.advance(0.1)
+    one.quarantine.record_served('digest')
+    clock.advance(0.1)
+    send_heartbeat(two, one)
+    send_heartbeat(one, two)
+    assert not one.quarantine.refuses('digest')
+    assert not two.quarantine.refuses('digest')
--- a/tests/targets/test_forwarder.py
+++ b/tests/targets/test_forwarder.py
@@ -1,10 +1,12 @@
 """Responses to callers, and requests at targets, when attempts fail."""
 
 import threading
+import time
 
 import attrs
 import pytest
 
+from chestnutshunt.attempts import quarantine
 from chestnutshunt.deployment import destination
 from chestnutshunt.deployment import route
 from chestnutshunt.deployment import route_kind
@@ -225,6 +227,20 @@
     assert sum(len(fake.heads) for fake in targets) == 2
 
 
+# Guards against DENIED: a sound request is at some target at most crashes.
+def test_request_that_is_served_between_crashes_is_not_refused(target):
+    good = target('good', fake_target.respond())
+    harness = Harness(good)
+    view = harness.state.replicas
+    for number in range(4):
+        bad = target(f't{number}', fake_target.drop)
+        fleet_parts.register(harness.state, good.replica(), bad.replica())
+        view.begin_request(good.replica())
+        assert harness.send(make_route(attempts=2)).head.status == 200
+        assert bad.heads
+        time.sleep(1.1 * quarantine.WAVE_S)
+
+
 def make_fragile(target, name, answer):
     """Return a target that answers once and then crashes."""
     made = target(name, answer, fake_target.crash(lambda: made))
