Let a former holder of the duties wait until the lease time has passed

Cause: B released the lease when it was stopped, which skips the second expiry that the figures assumed; and A did not notice that it had lost and regained the lease between two looks, so it acted at once.

Change: a tenure that may follow another's begins the lease time and 0.3 s after this daemon last acted or started. Tenures are told apart by their fencing number.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/duty_holder.py
@@ -44,9 +44,9 @@
     """Acquires and renews the lease of the duties.
 
     Within ``lease_s`` seconds the duties may not pass to another daemon and
-    back. The lease lasts two thirds of that time and would have to expire
-    twice for a former holder to act again. A new holder waits before it acts,
-    so that the calls of the previous one have arrived.
+    back. A holder may release the lease at any time, so a former holder waits
+    until that time has passed since it last acted. A new holder waits before
+    it acts, so that the calls of the previous one have arrived.
 
     Parameters
     ----------
@@ -59,6 +59,11 @@
     ----------
     held_event : Event
         Set while this daemon holds the lease.
+    acted_at : float
+        Monotonic time in seconds until which this daemon may have acted; at
+        first the start, as it may have acted before that.
+    may_act_at : float
+        Monotonic time in seconds from which it may act in this tenure.
     """
 
     def __init__(
@@ -73,7 +78,9 @@
             duration_s=state.config.lease_s * LEASE_RATIO,
             sole_process=True,
         )
-        self.acquired_at = 0.0
+        self.acted_at = state.clock.monotonic()
+        self.may_act_at = 0.0
+        self.noted_fence = 0
         self.held_event = threading.Event()
         self.holder_heard_at = state.clock.monotonic()
         self.was_held = False
@@ -121,25 +128,46 @@
 
     def note_change(self) -> None:
         """Log that the lease was acquired or lost, and tell the peers."""
-        if self.lease.is_held == self.was_held:
+        held = self.lease.is_held
+        fence = self.lease.fence if held else 0
+        if fence == self.noted_fence:
             return
-        self.was_held = self.lease.is_held
-        if self.was_held:
-            self.acquired_at = self.state.clock.monotonic()
+        self.noted_fence = fence
+        self.was_held = held
+        if held:
+            self.may_act_at = self.begin_at()
             self.held_event.set()
         else:
             self.held_event.clear()
         LOG.info(
-            'Duties taken' if self.was_held else 'Duties lost',
-            extra={'fence': self.lease.fence, 'revision': self.lease.version},
+            'Duties taken' if held else 'Duties lost',
+            extra={
+                'fence': self.lease.fence,
+                'revision': self.lease.version,
+                'acts_in_s': round(
+                    self.may_act_at - self.state.clock.monotonic(), 3
+                )
+                if held
+                else None,
+            },
         )
         self.state.wake_peers()
 
+    def begin_at(self) -> float:
+        """Return the monotonic time in seconds at which a tenure begins."""
+        begin_at = self.state.clock.monotonic() + ACT_DELAY_S
+        if not self.lease.follows_other:
+            return begin_at
+        lease_s = self.state.config.lease_s
+        return max(begin_at, self.acted_at + lease_s + ACT_DELAY_S)
+
     def fence(self) -> int:
         """Return the fencing number, or 0 if this daemon may not act now."""
         now = self.state.clock.monotonic()
-        if not self.was_held or not self.lease.is_held:
+        fence = self.lease.fence
+        if not self.lease.is_held or fence != self.noted_fence:
             return 0
-        if now - self.acquired_at < ACT_DELAY_S:
+        if now < self.may_act_at:
             return 0
-        return self.lease.fence
+        self.acted_at = now
+        return fence
--- a/packages/chestnutshunt/chestnutshunt/lease/lease.py
+++ b/packages/chestnutshunt/chestnutshunt/lease/lease.py
@@ -47,6 +47,9 @@
     ----------
     fence : int
         Fencing number of the current tenure; later tenures have higher ones.
+    follows_other : bool
+        True if another process may have held the lease just before the
+        current tenure.
     unreachable_at : float
         Monotonic time in seconds of the last call that the platform did not
         answer, 0.0 if none has failed since the tenure was last confirmed.
@@ -69,6 +72,7 @@
         self.sole_process = sole_process
         self.incarnation = secrets.token_hex(6)
         self.fence = 0
+        self.follows_other = False
         self.version = object_store.ABSENT
         self.valid_until = 0.0
         self.renewals = 0
@@ -149,6 +153,9 @@
         match self.write(expected):
             case result.Success(written):
                 self.version = written.version
+                self.follows_other = stored is not None and (
+                    stored.value.get('holder') != self.owner
+                )
                 self.fence = written.version
                 self.unreachable_at = 0.0
                 self.valid_until = self.expiry_of_call(sent_at)
