--- a/review/rig2.py
+++ b/review/rig2.py
@@ -167,7 +167,7 @@
         for port in range(12_000 + os.getpid() % 500 * 20, 32_000):
             with contextlib.ExitStack() as stack:
                 try:
-                    for last in range(1, 30):
+                    for last in range(1, 60):
                         probe = stack.enter_context(socket.socket())
                         probe.bind((f'{self.prefix}.{last}', port))
                 except OSError:
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -303,6 +303,7 @@
         self.orders = 0
         self.version = 1
         self.born = int(time.time() * 1000)
+        self.state = 'ready'
 
     def refuses_connection(self):
         """Take fewer connections than usual while the queue is long."""
@@ -315,6 +316,16 @@
         """Register, and go on doing so."""
         await self.register()
         self.beats = asyncio.create_task(self.beat())
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(
+            signal.SIGUSR1, lambda: asyncio.create_task(self.drain())
+        )
+
+    async def drain(self):
+        """Report that this replica drains; it goes on serving."""
+        self.state = 'draining'
+        await self.register()
+        self.log.add('draining accepted by the store')
 
     async def beat(self):
         """Write the registration at each heartbeat."""
@@ -335,7 +346,7 @@
             'zone': args.zone,
             'version': args.software,
             'slots': args.slots,
-            'state': 'ready',
+            'state': self.state,
             'coldLeftMs': 0,
             'seq': self.seq,
             'born': self.born,
