Show that streams go on at a target restarted with other software

A target that restarts under its id is known by its old registration for up to a second, and streams of its old software are taken up there.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -456,7 +456,8 @@
         for number in range(first, self.args.events):
             if not await self.work(reader, self.args.work_ms / 1e3):
                 return
-            text = f'id: {number}\ndata: token {number} of {request_id}\n\n'
+            data = f'{self.args.software} token {number} of {request_id}'
+            text = f'id: {number}\ndata: {data}\n\n'
             writer.write(chunk(text.encode()))
             await writer.drain()
         writer.write(b'0\r\n\r\n')
