--- a/review/rig2.py
+++ b/review/rig2.py
@@ -26,6 +26,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STANDINS = pathlib.Path(__file__).resolve().parent / 'standins2.py'
 START_TIMEOUT_S = 25.0
+# A script may last 120 s.
+LONGEST_S = 116
 KEY = 'key-of-tenant-one'
 HOST = 'trainer.example'
 
@@ -348,6 +350,13 @@
     `play` gets the deployment, the record and whether the disruption is to
     be made; it returns the list of what broke the rule.
     """
+
+    def stop(number, frame):
+        raise CannotRun(f'ended by signal {number}')
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(LONGEST_S)
     record = Record(pathlib.Path(folder) / 'record.txt')
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record.add(f'disruption: {"made" if trouble else "left out"}')
