Choose targets for items only when a thread is free

Cause: the dispatcher chose target and route, reserved the slot and queued the item in a pool of 160 threads. Beyond 160 the choice waited with the item, and nothing looked at it again before it was sent.

Ruled out: a late registration (the daemons logged it within a heartbeat), the choice itself (`serving` leaves draining targets out).

Change: an item is started only if a thread is free, so that what waits holds no target, route, slot or permit. The exchanger looks again right before a request is written whether its target serves; this covers requests, streams, items, scoring calls, retries and hedges, and counts as not sent and no fault of the target. The route of an item is matched again before it is sent, that of a scoring call before each attempt.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -149,7 +149,7 @@
             adapter.target_codec,
             state.clock,
             state.rate_gate,
-            state.replicas.leaving_targets,
+            state.replicas,
         )
         rng = random.Random()
         forwards = forwarder.Forwarder(state, exchanger, rng)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -158,6 +158,12 @@
             deadline=self.state.clock.monotonic() + ATTEMPT_TIMEOUT_S,
         )
         started_at = self.state.clock.monotonic()
+        if not self.is_routed_to(run, target.service):
+            LOG.info(
+                'Item not sent, as its route has changed',
+                extra={'request': entry.item.id, 'job': run.job.id},
+            )
+            return False
         if entry.origin != target.origin:
             entry.reset()
         resume_after = entry.last_event
@@ -204,6 +210,12 @@
                 },
             )
 
+    def is_routed_to(self, run: job_run.JobRun, service: str) -> bool:
+        """Return whether the items of a job run at a service now."""
+        current: deployment.Deployment = self.state.deployment
+        found = current.match_route(run.job.host, run.job.path)
+        return found is not None and found.service_for(0.0) == service
+
     def item_headers(self, own: item.Item) -> tuple[tuple[str, str], ...]:
         """Return the headers of an item that its target gets.
 
@@ -378,7 +390,7 @@
         entry.not_before = self.state.clock.monotonic() + BUSY_RETRY_S
         is_target_fault = not isinstance(
             exc, target_error.TargetError
-        ) or not (exc.stale or exc.rate_limited)
+        ) or not (exc.stale or exc.withheld)
         if is_target_fault:
             self.state.replicas.state(target).breaker.record_failure()
             self.state.replicas.record_rejection(target)
@@ -450,7 +462,9 @@
                 request,
                 route,
                 token,
-                lambda: not run.ended.is_set(),
+                lambda: (
+                    not run.ended.is_set() and self.score_route(call) == route
+                ),
                 is_owed=True,
             )
         except cancel_token.CallerLeft:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -93,6 +93,7 @@
         self.orphaned_since: dict[str, float] = {}
         self.readable_runs: dict[str, job_run.JobRun] = {}
         self.pool = futures.ThreadPoolExecutor(MAX_RUNNING_ITEMS_COUNT, 'item')
+        self.free_threads = threading.BoundedSemaphore(MAX_RUNNING_ITEMS_COUNT)
         self.lock = threading.Lock()
         self.added = threading.Event()
         state.running_job_ids = self.job_ids
@@ -223,8 +224,13 @@
             return
         blocked_count = 0
         for index, entry in enumerate(startable):
+            # A target is chosen only for a thread that is free: an item that
+            # waits must not keep a slot, nor a choice that grows old.
+            if not self.free_threads.acquire(blocking=False):
+                break
             if self.start_item(run, entry, route):
                 continue
+            self.free_threads.release()
             if not entry.texts:
                 blocked_count += len(startable) - index
                 break
@@ -239,7 +245,13 @@
         entry: item_state.ItemState,
         route: route.Route,
     ) -> bool:
-        """Start an item; return False if no target has a free slot."""
+        """Start an item on a free thread.
+
+        Returns
+        -------
+        bool
+            False if no target has a free slot; the thread is still free.
+        """
         slot = None
         if not entry.text_complete:
             target = self.placement.choose_target(run, entry, route)
@@ -250,9 +262,22 @@
                 target.id
             )
         entry.running = True
-        self.pool.submit(self.item_runner.run, run, entry, route, slot)
+        self.pool.submit(self.run_item, run, entry, route, slot)
         return True
 
+    def run_item(
+        self,
+        run: job_run.JobRun,
+        entry: item_state.ItemState,
+        route: route.Route,
+        slot: target_slot.TargetSlot | None,
+    ) -> None:
+        """Run an item in a thread of the pool, and free the thread."""
+        try:
+            self.item_runner.run(run, entry, route, slot)
+        finally:
+            self.free_threads.release()
+
     def give_up_without_route(
         self, run: job_run.JobRun, startable: list[item_state.ItemState]
     ) -> None:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
@@ -24,8 +24,9 @@
     moved : bool
         True if the request moves away from a target that is about to be
         reclaimed.
-    rate_limited : bool
-        True if the target's rate limit did not allow to send the request.
+    withheld : bool
+        True if this daemon did not send the request, as the target's rate
+        limit does not allow it or the target leaves.
     """
 
     def __init__(
@@ -35,7 +36,7 @@
         crashed: bool = False,
         stale: bool = False,
         moved: bool = False,
-        rate_limited: bool = False,
+        withheld: bool = False,
         unreachable: bool = False,
     ) -> None:
         super().__init__(message)
@@ -43,5 +44,5 @@
         self.crashed = crashed
         self.stale = stale
         self.moved = moved
-        self.rate_limited = rate_limited
+        self.withheld = withheld
         self.unreachable = unreachable
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -12,8 +12,8 @@
 from chestnutshunt.attempts import progress
 from chestnutshunt import clock
 from chestnutshunt.ratelimit import rate_gate
-from chestnutshunt.replicas import leaving_targets
 from chestnutshunt.replicas import replica
+from chestnutshunt.replicas import replica_view
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import headers
 from chestnutshunt_daemon import target_call
@@ -62,8 +62,8 @@
         Clock of deadlines.
     gate : RateGate
         Records the rate limits of targets and holds back requests.
-    leaving : LeavingTargets
-        Records which targets say that they are shutting down.
+    view : ReplicaView
+        Tells which targets serve, and records which say that they leave.
     """
 
     def __init__(
@@ -72,13 +72,13 @@
         codec: target_codec.TargetCodec,
         clock: clock.Clock,
         gate: rate_gate.RateGate,
-        leaving: leaving_targets.LeavingTargets,
+        view: replica_view.ReplicaView,
     ) -> None:
         self.pool = pool
         self.codec = codec
         self.clock = clock
         self.gate = gate
-        self.leaving = leaving
+        self.view = view
 
     @contextlib.contextmanager
     def exchange(
@@ -140,7 +140,7 @@
             raise target_error.TargetError(
                 f'{target.id} takes no more requests now.',
                 progress.Progress.NOT_SENT,
-                rate_limited=True,
+                withheld=True,
             )
         connection = None
         if reuse:
@@ -191,6 +191,12 @@
                 'The deadline passed before the request was sent.',
                 progress.Progress.NOT_SENT,
             )
+        if not self.view.is_serving(pending.replica):
+            raise target_error.TargetError(
+                f'{pending.replica.id} left before the request was sent.',
+                progress.Progress.NOT_SENT,
+                withheld=True,
+            )
         context = attempt_context.AttemptContext(
             request.id,
             pending.replica.id,
@@ -277,7 +283,7 @@
                 stale=pending.reused,
             )
         if head.leaving and not head.other_process:
-            self.leaving.add(pending.replica, pending.request.id)
+            self.view.leaving_targets.add(pending.replica, pending.request.id)
         self.gate.limits.observe(
             pending.replica, head.rate_limit, pending.sent_at
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -345,7 +345,7 @@
         self.state.metrics.attempts.labels('failed').inc()
         if sent:
             pending.may_have_run = True
-        if exc.rate_limited:
+        if exc.withheld:
             pending.unavailable_ids.add(target.id)
             return
         pending.reached_ids.update({target.id} if sent else ())
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -406,7 +406,7 @@
         if exc.stale:
             stream.stale_keys.add(target.start_key)
             stream.stale_target = target
-        elif not exc.rate_limited:
+        elif not exc.withheld:
             self.state.replicas.state(target).breaker.record_failure()
         was_stale = target.start_key in stream.stale_keys
         if exc.crashed or (exc.unreachable and was_stale):
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -223,6 +223,19 @@
         """
         return target.leaving or target in self.leaving_targets
 
+    def is_serving(self, target: replica.Replica) -> bool:
+        """Return whether the process of a target still accepts requests."""
+        with self.lock:
+            current = self.replicas.get(target.id)
+            if current is None and target.id in self.lapsed_replicas:
+                until, lapsed = self.lapsed_replicas[target.id]
+                current = lapsed if self.clock.monotonic() <= until else None
+        return (
+            current is not None
+            and current.start_key == target.start_key
+            and not self.is_leaving(current)
+        )
+
     def load(self, target: replica.Replica) -> int:
         """Return the estimated number of requests at a target.
 
--- a/tests/fleet_parts.py
+++ b/tests/fleet_parts.py
@@ -51,11 +51,7 @@
     pool = connection_pool.ConnectionPool(state.clock)
     codec = target_codec.PlatformTargetCodec()
     return exchange.Exchanger(
-        pool,
-        codec,
-        state.clock,
-        state.rate_gate,
-        state.replicas.leaving_targets,
+        pool, codec, state.clock, state.rate_gate, state.replicas
     )
 
 
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -92,14 +92,21 @@
         thread.start()
         stack.callback(self.state.stopped.set)
 
-    def add(self, name, *script, kind='model', versions=None, software=''):
+    def add(
+        self,
+        name,
+        *script,
+        kind='model',
+        versions=None,
+        software='',
+        slots=4,
+    ):
         target = fake_target.FakeTarget(name, *script)
         self.fakes.append(target)
         self.stack.callback(target.close)
         versions = {'m': 5} if versions is None else versions
-        self.targets.append(
-            target.replica(kind, versions=versions, software=software)
-        )
+        registered = target.replica(kind, versions=versions, software=software)
+        self.targets.append(attrs.evolve(registered, slots=slots))
         fleet_parts.register(self.state, *self.targets)
         return target
 
@@ -593,3 +600,65 @@
     (listed,) = harness.results(make_job(count=1))
     assert listed.complete
     assert breaker.allows_requests()
+
+
+def generate_until(event):
+    """Return a step that sends a text which ends once an event is set."""
+
+    def step(connection, fields):
+        fake_target.events(1, complete=None, version=5)(connection, fields)
+        number = 1
+        while not event.wait(0.3):
+            number += 1
+            data = f'id: {number}\ndata: d{number}\n\n'.encode()
+            connection.sendall(b'%x\r\n%s\r\n' % (len(data), data))
+        connection.sendall(b'0\r\n\r\n')
+
+    return step
+
+
+def count_requests(*targets):
+    return sum(len(target.heads) for target in targets)
+
+
+# Guards against DRAIN: items beyond the threads of a daemon waited for one
+# with their target chosen, and went there long after it had begun to drain.
+@pytest.mark.parametrize('items', [200, 400])
+def test_a_waiting_item_does_not_go_to_a_target_that_drains(stack, items):
+    harness = Harness(stack)
+    release = threading.Event()
+    stays = harness.add('t1', generate_until(release), slots=200)
+    drains = harness.add('t2', generate_until(release), slots=200)
+    run = harness.run(make_job(count=items))
+    wait_until(lambda: count_requests(stays, drains) >= 160)
+    harness.targets[1] = attrs.evolve(harness.targets[1], leaving=True)
+    fleet_parts.register(harness.state, *harness.targets)
+    time.sleep(0.5)
+    before = len(drains.heads)
+    release.set()
+    wait_until(lambda: run.is_done)
+    assert len(drains.heads) == before
+
+
+# Guards against CONFIG: the items waited with their route as well.
+def test_a_waiting_item_follows_its_route_to_another_service(stack):
+    harness = Harness(stack)
+    release = threading.Event()
+    old = harness.add('t1', generate_until(release), slots=400)
+    run = harness.run(make_job(count=200))
+    wait_until(lambda: count_requests(old) >= 160)
+    new = harness.add('t2', COMPLETE_STREAM, kind='next', slots=400)
+    moved = attrs.evolve(
+        harness.state.deployment.routes[0],
+        destinations=(destination.Destination('next'),),
+    )
+    harness.state.deployment = attrs.evolve(
+        harness.state.deployment,
+        routes=(moved, *harness.state.deployment.routes[1:]),
+    )
+    time.sleep(0.5)
+    before = len(old.heads)
+    release.set()
+    wait_until(lambda: run.is_done)
+    assert len(old.heads) == before
+    assert len(new.heads) == 200 - before
