Run as many items as the memory of a VM allows

Cause: a daemon ran 160 items at one time, whatever its VM could bear, and kept each job that it was given. All jobs of a workspace and model go to one daemon.

Change: the bound follows from the new setting `memory_mb`: 0.15 MB an item beyond 90 MB, 160 at least, 1,500 at most. A job goes to the next daemon if the preferred one has too few threads for its items and for the slots of the service.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
@@ -11,6 +11,15 @@
 THREADS = 48
 SMALL_VM_THREADS = 24
 
+# Memory that a daemon needs beside the items that it runs, and for each of
+# them with its thread, connection and text.
+BASE_MEMORY_MB = 90
+ITEM_MEMORY_MB = 0.15
+
+# Items that a daemon runs concurrently, however small or large its VM.
+MIN_RUNNING_ITEMS = 160
+MAX_RUNNING_ITEMS = 1500
+
 
 @attrs.frozen
 class FleetSettings:
@@ -51,6 +60,8 @@
     processor_share, processor_count : float
         Share of a core that the VM has, and speed of that core relative to
         others; their product is the capacity of the VM.
+    memory_mb : int
+        Memory of the VM that the daemon may use, in MB.
     threads : int
         Callers' requests served concurrently; 0 chooses by the capacity.
     first_start : bool
@@ -79,6 +90,7 @@
     seed_addresses: list[str] = attrs.field(factory=list)
     processor_share: float = 1.0
     processor_count: float = 1.0
+    memory_mb: int = attrs.field(default=256, validator=settings.at_least(64))
     threads: int = attrs.field(
         default=0, validator=settings.at_least(4, or_zero=True)
     )
@@ -100,6 +112,12 @@
             return self.threads
         return THREADS if self.capacity >= 1.0 else SMALL_VM_THREADS
 
+    @property
+    def running_items(self) -> int:
+        """Items of jobs that the daemon runs concurrently."""
+        fitting = int((self.memory_mb - BASE_MEMORY_MB) / ITEM_MEMORY_MB)
+        return min(max(fitting, MIN_RUNNING_ITEMS), MAX_RUNNING_ITEMS)
+
     @property
     def seeds(self) -> list[str]:
         """``IP:PORT`` of the seeds for calls between daemons.
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
@@ -115,12 +115,14 @@
         it reuses its connections, and it has the texts of items that are
         submitted again. For a service with more slots, only the jobs of one
         workspace and model run together. If the daemon does not answer, the
-        next one is asked; if none does, the job runs here.
+        next one is asked, and also if that daemon already runs as many items
+        as it can. If none takes the job, it runs here.
         """
         for peer in self.runner.preferred_peers(job)[:MAX_HAND_OVER_COUNT]:
             if peer is None:
-                break
-            if self.hand_over(peer, job):
+                if self.runner.has_room(job):
+                    break
+            elif self.hand_over(peer, job):
                 return
         self.runner.add(job)
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -52,9 +52,6 @@
 # Running items that a daemon with one core can serve.
 SLOTS_PER_CORE = 100
 
-# Items that one daemon runs concurrently; each thread takes about 60 KB.
-MAX_RUNNING_ITEMS_COUNT = 160
-
 # Time for which an ended job stays in memory for callers that read it.
 ENDED_JOB_TTL_S = 45.0
 
@@ -65,6 +62,11 @@
 MAX_READABLE_RUNS_COUNT = 16
 
 
+def is_any(entry: item_state.ItemState) -> bool:
+    """Return True: every item counts."""
+    return True
+
+
 class JobRunner:
     """Starts items at targets with free slots; takes over orphaned jobs.
 
@@ -92,8 +94,9 @@
         self.ended_at: dict[str, float] = {}
         self.orphaned_since: dict[str, float] = {}
         self.readable_runs: dict[str, job_run.JobRun] = {}
-        self.pool = futures.ThreadPoolExecutor(MAX_RUNNING_ITEMS_COUNT, 'item')
-        self.free_threads = threading.BoundedSemaphore(MAX_RUNNING_ITEMS_COUNT)
+        running_items = state.config.running_items
+        self.pool = futures.ThreadPoolExecutor(running_items, 'item')
+        self.free_threads = threading.BoundedSemaphore(running_items)
         self.lock = threading.Lock()
         self.added = threading.Event()
         state.running_job_ids = self.job_ids
@@ -104,6 +107,15 @@
         """Return the state of a job, to be run or read here."""
         return job_run.JobRun(job, self.store, self.state.clock)
 
+    def has_room(self, job: job.Job) -> bool:
+        """Return whether a job's items would leave no slot idle here.
+
+        They would if more items could run than this daemon has threads for.
+        """
+        items = len(job.items) + sum(self.count_items(is_any).values())
+        slots = self.count_slots(self.service_of(job))
+        return min(items, slots) <= self.state.config.running_items
+
     def job_ids(self) -> list[str]:
         """Return the ids of the jobs that run here."""
         return list(self.runs)
@@ -142,7 +154,7 @@
 
     def update_demand(self) -> None:
         """Add the present number of items to the moving averages."""
-        counts = self.count_items(lambda entry: True)
+        counts = self.count_items(is_any)
         for model in counts.keys() | self.mean_items.keys():
             mean = self.mean_items.get(model, 0.0)
             mean += DEMAND_WEIGHT_RATIO * (counts.get(model, 0) - mean)
@@ -350,8 +362,11 @@
         """Return whether a daemon's VM can serve all slots of a service."""
         view = self.state.topology
         member = view.members.get(name, view.own)
-        slots = sum(x.slots for x in self.state.replicas.serving(service))
-        return slots <= member.capacity * SLOTS_PER_CORE
+        return self.count_slots(service) <= member.capacity * SLOTS_PER_CORE
+
+    def count_slots(self, service: str) -> int:
+        """Return the number of slots that the targets of a service have."""
+        return sum(x.slots for x in self.state.replicas.serving(service))
 
     def service_of(self, job: job.Job) -> str:
         """Return the service that runs the items of a job."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
@@ -140,11 +140,20 @@
     def RunJob(
         self, request: fleet_pb2.RunRequest, context: grpc.ServicerContext
     ) -> fleet_pb2.RunReply:
-        """Run a job that another daemon has accepted, unless shutting down."""
+        """Run a job that another daemon has accepted.
+
+        Not during a shutdown, nor if it would leave slots of targets idle.
+        """
         if self.state.leaving.is_set():
             return fleet_pb2.RunReply(taken=False)
         items = job_codec.decode_items(json.loads(request.items))
         job = job_codec.decode_job(json.loads(request.job), items)
+        if not self.runner.has_room(job):
+            LOG.info(
+                'Job not taken, as too many items run here',
+                extra={'job': job.id, 'items': len(items)},
+            )
+            return fleet_pb2.RunReply(taken=False)
         self.runner.add(job)
         return fleet_pb2.RunReply(taken=True)
 
--- a/tests/jobs/test_job_placement.py
+++ b/tests/jobs/test_job_placement.py
@@ -7,9 +7,11 @@
 from chestnutshunt.deployment import destination
 from chestnutshunt.deployment import route
 from chestnutshunt.deployment import route_kind
+from chestnutshunt.jobs import item
 from chestnutshunt.jobs import job
 from chestnutshunt.jobs import job_codec
 from chestnutshunt.replicas import replica
+from chestnutshunt_daemon.jobs import job_api
 from chestnutshunt_daemon.jobs import job_runner
 from chestnutshunt_daemon.peers import peer_info
 from tests import fleet_parts
@@ -17,6 +19,10 @@
 PEERS = tuple(f'p{number}' for number in range(8))
 
 
+def make_item(number):
+    return item.Item(f'i{number}', '/model/', {}, b'x', 'g', 0, None)
+
+
 def make_runner(slots, capacity, near=PEERS, **settings):
     state = fleet_parts.make_state(
         processor_share=capacity, processor_count=1.0, **settings
@@ -55,8 +61,9 @@
     return job_runner.JobRunner(state, None, None)
 
 
-def make_job(model):
-    return job.Job('j', 'h', '/model/', 'w', 0.0, (), 1, model)
+def make_job(model, items=0, name='j'):
+    members = tuple(make_item(number) for number in range(items))
+    return job.Job(name, 'h', '/model/', 'w', 0.0, members, 1, model)
 
 
 def runners(runner):
@@ -120,3 +127,42 @@
         lost = runner.preferred_peers(make_job('m0'))[0]
         del runner.state.peers[lost.name]
     assert all(runner.is_successor(value) for value in jobs)
+
+
+# Guards against LOST: a daemon kept a job of which it could not run all
+# items, and slots of targets idled that another daemon could have filled.
+@pytest.mark.parametrize(
+    ('slots', 'running', 'fits'),
+    [
+        (400, 0, True),
+        (400, 60, True),
+        (400, 61, False),
+        (160, 400, True),
+    ],
+)
+def test_a_daemon_takes_no_job_that_leaves_slots_idle(slots, running, fits):
+    runner = make_runner(slots=slots, capacity=1.0, memory_mb=96)
+    if running:
+        earlier = make_job('m', running, name='earlier')
+        runner.runs['earlier'] = runner.make_run(earlier)
+    assert runner.has_room(make_job('m', 100)) is fits
+
+
+class HandOverLog(job_api.JobApi):
+    """Records to which peers jobs are handed over; they take them."""
+
+    def hand_over(self, peer, job):
+        self.handed_over = peer.name
+        return True
+
+
+def test_a_job_beyond_the_own_threads_is_handed_over():
+    runner = make_runner(slots=400, capacity=10.0, memory_mb=96)
+    while runner.preferred_peers(make_job('m'))[0] is not None:
+        first = runner.preferred_peers(make_job('m'))[0]
+        del runner.state.peers[first.name]
+    _, second, *_ = runner.preferred_peers(make_job('m'))
+    api = HandOverLog(runner.state, None, runner, None)
+    api.assign(make_job('m', 161))
+    assert api.handed_over == second.name
+    assert not runner.runs
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -76,10 +76,10 @@
 
 
 class Harness:
-    def __init__(self, stack, store=None, **fields):
+    def __init__(self, stack, store=None, memory_mb=256, **fields):
         self.stack = stack
         self.store = store or memory_store.MemoryStore()
-        self.state = fleet_parts.make_state()
+        self.state = fleet_parts.make_state(memory_mb=memory_mb)
         self.state.deployment = make_deployment(**fields)
         self.targets = []
         self.fakes = []
@@ -625,7 +625,7 @@
 # with their target chosen, and went there long after it had begun to drain.
 @pytest.mark.parametrize('items', [200, 400])
 def test_a_waiting_item_does_not_go_to_a_target_that_drains(stack, items):
-    harness = Harness(stack)
+    harness = Harness(stack, memory_mb=96)
     release = threading.Event()
     stays = harness.add('t1', generate_until(release), slots=200)
     drains = harness.add('t2', generate_until(release), slots=200)
@@ -642,7 +642,7 @@
 
 # Guards against CONFIG: the items waited with their route as well.
 def test_a_waiting_item_follows_its_route_to_another_service(stack):
-    harness = Harness(stack)
+    harness = Harness(stack, memory_mb=96)
     release = threading.Event()
     old = harness.add('t1', generate_until(release), slots=400)
     run = harness.run(make_job(count=200))
@@ -662,3 +662,20 @@
     wait_until(lambda: run.is_done)
     assert len(old.heads) == before
     assert len(new.heads) == 200 - before
+
+
+# Guards against LOST: of two jobs with a free slot for each item, 112 of 272
+# items waited for a thread until others had ended.
+def test_no_slot_idles_while_an_item_waits(stack):
+    harness = Harness(stack)
+    release = threading.Event()
+    targets = [
+        harness.add(f't{number}', generate_until(release), slots=16)
+        for number in range(17)
+    ]
+    runs = [
+        harness.run(make_job(name, count=136, prefix=name)) for name in 'ab'
+    ]
+    wait_until(lambda: count_requests(*targets) == 272)
+    release.set()
+    wait_until(lambda: all(run.is_done for run in runs))
