Keep the origin of a stream while it runs

Callers saw (by test): a resumable stream that had run for more than a minute could not be taken up at another daemon; where one software version was left, it could go on there with events that do not fit.

Cause: the origin of a stream was recorded at its first event and forgotten 60 s later, whether or not the stream had ended.

Change: the daemon that forwards the stream records its origin every 15 s, also under the id of the request that began it where it was taken up, and passes it on to the hubs that keep it; after the end it stays for at least 45 s. Hubs that restart learn it again.

Measured: test_the_origin_of_a_running_stream_is_kept failed before for new and taken-up streams, after 150 s of a manual clock, and passes. Cost: one record more for each 15 s of a stream, in batches.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -11,6 +11,7 @@
 from chestnutshunt import errors
 from chestnutshunt.jobs import event_reader
 from chestnutshunt.replicas import replica
+from chestnutshunt.streams import origin_table
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon import target_error
 from chestnutshunt_daemon.targets import cancel_token
@@ -134,6 +135,7 @@
                 UNKNOWN_ORIGIN_DELAY_S,
             )
         stream.origin = origin
+        stream.origin_noted_at = self.state.clock.monotonic()
         stream.service = origin.service
 
     def connect(
@@ -373,18 +375,28 @@
                 ):
                     raise ValueError(f'Event {event.id} was repeated.')
                 stream.last_event = event.id
-                if stream.origin is None:
-                    self.note_origin(stream)
+                self.note_origin(stream)
                 yield event.raw
         if reader.buffer.strip():
             raise ValueError('The stream ends inside an event.')
 
     def note_origin(self, stream: stream_state.StreamState) -> None:
-        """Record the origin of a stream when its first event arrives."""
-        self.state.quarantine.record_served(stream.digest)
-        stream.origin = stream.target.origin
-        if stream.route.resumable:
-            self.state.origins.begin(stream.request.id, stream.origin)
+        """Record the origin of a stream at its first event, then regularly."""
+        origins = self.state.origins
+        now = self.state.clock.monotonic()
+        if stream.origin is None:
+            self.state.quarantine.record_served(stream.digest)
+            stream.origin = stream.target.origin
+            stream.origin_noted_at = now
+            if stream.route.resumable:
+                origins.begin(stream.request.id, stream.origin)
+        elif (
+            stream.route.resumable
+            and stream.begun_by
+            and now - stream.origin_noted_at > origin_table.RENEWAL_S
+        ):
+            stream.origin_noted_at = now
+            origins.renew(stream.begun_by, stream.origin)
 
     def record_failure(
         self,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
@@ -87,6 +87,16 @@
         else:
             self.publish_at_once(request_id, origin)
 
+    def renew(
+        self, request_id: str, origin: stream_origin.StreamOrigin
+    ) -> None:
+        """Record that a stream of this origin still runs, here and at peers.
+
+        A peer may have restarted meanwhile, or have become the one to ask.
+        """
+        self.table.record(request_id, origin)
+        self.publish(request_id, origin)
+
     def find(
         self, position: stream_position.StreamPosition, route: route.Route
     ) -> stream_origin.StreamOrigin | None:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_state.py
@@ -46,6 +46,8 @@
         Id of the last event that the caller has.
     origin : StreamOrigin or None
         Origin of the events so far; ``None`` before the first one.
+    origin_noted_at : float
+        Monotonic time in seconds at which the origin was last recorded.
     target : Replica or None
         Target whose events are forwarded.
     """
@@ -63,8 +65,16 @@
     begun: bool = False
     last_event: int | None = None
     origin: stream_origin.StreamOrigin | None = None
+    origin_noted_at: float = 0.0
     target: replica.Replica | None = None
 
+    @property
+    def begun_by(self) -> str:
+        """Id of the request that began the stream."""
+        if self.is_taken_up:
+            return self.request.position.begun_by
+        return self.request.id
+
     @property
     def is_taken_up(self) -> bool:
         """True if the caller goes on with a stream that it had begun."""
--- a/packages/chestnutshunt/chestnutshunt/streams/origin_table.py
+++ b/packages/chestnutshunt/chestnutshunt/streams/origin_table.py
@@ -5,11 +5,14 @@
 from chestnutshunt import clock
 from chestnutshunt.streams import stream_origin
 
-__all__ = ['ORIGIN_TTL_S', 'OriginTable']
+__all__ = ['ORIGIN_TTL_S', 'RENEWAL_S', 'OriginTable']
 
-# Longest time for which a caller may take a stream up again.
+# Longest time after its end for which a caller may take a stream up again.
 ORIGIN_TTL_S = 60.0
 
+# Time between two records of the origin of a stream that is still running.
+RENEWAL_S = 15.0
+
 MAX_STREAM_COUNT = 100_000
 
 
--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -159,6 +159,12 @@
     drop(connection, fields)
 
 
+def send_event(connection, number, label='d'):
+    """Send one event as a chunk."""
+    data = f'id: {number}\ndata: {label}{number}\n\n'.encode()
+    connection.sendall(b'%x\r\n%s\r\n' % (len(data), data))
+
+
 def events(*numbers, complete=True, version=None, label='d', **headers):
     """Return a step that streams events.
 
@@ -178,8 +184,7 @@
             head += f'{name.replace("_", "-")}: {value}\r\n'
         connection.sendall(head.encode() + b'\r\n')
         for number in numbers:
-            data = f'id: {number}\ndata: {label}{number}\n\n'.encode()
-            connection.sendall(b'%x\r\n%s\r\n' % (len(data), data))
+            send_event(connection, number, label)
         if complete:
             connection.sendall(b'0\r\n\r\n')
         elif complete is not None:
--- a/tests/fleet_parts.py
+++ b/tests/fleet_parts.py
@@ -12,11 +12,11 @@
 from chestnutshunt_platform import target_codec
 
 
-def make_state(**settings):
+def make_state(clock=None, **settings):
     config = fleet_settings.FleetSettings(
         name='d1', role='front', datacentre='a', **settings
     )
-    return fleet_state.FleetState(config, main.STORE_SCHEMA)
+    return fleet_state.FleetState(config, main.STORE_SCHEMA, clock)
 
 
 def register(state, *targets):
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of streams from targets that fail or are busy."""
 
 import random
+import threading
 
 import pytest
 
@@ -8,14 +9,20 @@
 from chestnutshunt.deployment import route
 from chestnutshunt.deployment import route_kind
 from chestnutshunt import errors
+from chestnutshunt import manual_clock
+from chestnutshunt.streams import stream_origin
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import stream_forwarder
+from chestnutshunt_daemon.targets import stream_position
 from chestnutshunt_daemon.targets import target_request
 from tests import fake_target
 from tests import fleet_parts
 from tests.targets import test_endless_answers
 from tests.targets import test_forwarder
 
+NEW = stream_position.StreamPosition()
+TAKEN_UP = stream_position.StreamPosition('q0', 3)
+
 
 def make_route(resumable, attempts=3):
     return route.Route(
@@ -51,10 +58,10 @@
     )
 
 
-def open_at(forwarder, resumable, attempts=3):
+def open_at(forwarder, resumable, attempts=3, position=NEW):
     deadline = forwarder.state.clock.monotonic() + 5
     request = target_request.TargetRequest(
-        'q1', 'POST', '/p/', 'h', (), b'', 'w', deadline
+        'q1', 'POST', '/p/', 'h', (), b'', 'w', deadline, position
     )
     return forwarder.open(
         request,
@@ -299,3 +306,52 @@
     targets = [target(f't{n}', step) for n in range(2)]
     response = open_stream(True, *targets)
     assert b''.join(response.chunks) == encoded_events(1, 2, 3)
+
+
+class Ticks:
+    """Sends an event at each tick of a clock, a second apart."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.ticks = threading.Semaphore(0)
+
+    def step(self, connection, fields):
+        first = int(fields.get('last-event-id', 0)) + 1
+        fake_target.events(first, complete=None)(connection, fields)
+        number = first
+        while self.ticks.acquire(timeout=5):
+            number += 1
+            fake_target.send_event(connection, number)
+
+    def read(self, chunks, seconds):
+        for _ in range(seconds):
+            next(chunks)
+            self.clock.advance(1.0)
+            self.ticks.release()
+
+
+# Guards against ORDER and LOST: the origin of a stream was forgotten a minute
+# after its first event, also while it ran.
+@pytest.mark.parametrize('position', [NEW, TAKEN_UP])
+def test_the_origin_of_a_running_stream_is_kept(target, position):
+    clock = manual_clock.ManualClock()
+    state = fleet_parts.make_state(clock=clock)
+    ticks = Ticks(clock)
+    fleet_parts.register(state, target('t1', ticks.step).replica())
+    begun_by = position.begun_by or 'q1'
+    if position.begun_by:
+        origin = stream_origin.StreamOrigin('s', '')
+        state.origins.table.record(begun_by, origin)
+    published = []
+    state.origins.publish = lambda name, origin: published.append(name)
+    state.origins.publish_at_once = state.origins.publish
+    response = open_at(make_forwarder(state), True, position=position)
+    ticks.read(response.chunks, 150)
+    assert state.origins.table.find(begun_by) is not None
+    assert set(published) == {begun_by}
+    assert len(published) >= 9
+    response.chunks.close()
+    clock.advance(40.0)
+    assert state.origins.table.find(begun_by) is not None
+    clock.advance(61.0)
+    assert state.origins.table.find(begun_by) is None
