Never delete the results of open jobs

Callers would see (by test): a job that is open for more than an hour answers 404, and its results are gone.

Cause: the cleaning took jobs that nobody had ended for abandoned after 3600 s. Results have to be readable as long as a job is open.

Change: only ended jobs expire. Jobs that are open for longer than an hour are logged with their number and the oldest of them, for an operator to end.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/cleanup_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/cleanup_duty.py
@@ -1,5 +1,6 @@
 """Deletes expired jobs, usage windows and registrations from the store."""
 
+from collections.abc import Iterable
 import logging
 
 from returns import result
@@ -22,9 +23,8 @@
 # Added to the time for which results can be read, as clocks differ.
 CLOCK_SKEW_MARGIN_S = 30.0
 
-# Age at which a job that was never ended counts as abandoned; a step takes
-# minutes.
-ABANDONED_JOB_S = 3600.0
+# Age from which jobs that are still open are reported; a step takes minutes.
+LONG_OPEN_S = 3600.0
 
 # Time for which a frozen window is kept; it is reported within 10 s.
 WINDOW_RETENTION_S = 600.0
@@ -70,15 +70,42 @@
         expired = [stored for stored in jobs if self.is_expired(stored)]
         for stored in expired[:MAX_JOBS_PER_PASS_COUNT]:
             self.delete_job(stored)
+        self.report_long_open(jobs)
         self.delete_windows()
         self.delete_daemons()
 
     def is_expired(self, stored: stored_object.StoredObject) -> bool:
-        """Return whether a job's results need no longer be readable."""
-        age = self.state.time.now() - stored.value['submitted_at']
-        if stored.value['ended']:
-            return age > self.state.config.job_kept_s + CLOCK_SKEW_MARGIN_S
-        return age > ABANDONED_JOB_S
+        """Return whether a job's results need no longer be readable.
+
+        Those of an open job are kept, however old it is.
+        """
+        kept_s = self.state.config.job_kept_s + CLOCK_SKEW_MARGIN_S
+        return stored.value['ended'] and self.age_s(stored) > kept_s
+
+    def age_s(self, stored: stored_object.StoredObject) -> float:
+        """Return the seconds since a job was submitted."""
+        return self.state.time.now() - stored.value['submitted_at']
+
+    def report_long_open(
+        self, jobs: Iterable[stored_object.StoredObject]
+    ) -> None:
+        """Log jobs that nobody has ended for long, for an operator to end."""
+        long_open = [
+            stored
+            for stored in jobs
+            if not stored.value['ended'] and self.age_s(stored) > LONG_OPEN_S
+        ]
+        if long_open:
+            oldest = max(long_open, key=self.age_s)
+            LOG.warning(
+                'Jobs are open for long',
+                extra={
+                    'jobs': len(long_open),
+                    'oldest': oldest.name,
+                    'workspace': oldest.value['workspace'],
+                    'age_s': round(self.age_s(oldest)),
+                },
+            )
 
     def delete_job(self, stored: stored_object.StoredObject) -> None:
         """Delete a job, and last the object that records its acceptance.
