Take over open jobs of any age

Cause: `JobRunner.take_over` returned without a word for a job older than `job_kept_s`, which is how long results must be readable at least, not how long a job may be open.

Ruled out: the orphan timeout (a job 4 s younger is taken over), the store (its reads succeed).

Change: the age is not looked at. Jobs that are ended never reach this point, and items beyond the lifetime of their route are given up as before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -385,9 +385,6 @@
 
     def take_over(self, value: dict) -> None:
         """Run an orphaned job; it stays orphaned if the store fails."""
-        age = self.state.time.now() - value['submitted_at']
-        if age > self.state.config.job_kept_s:
-            return
         match self.load(value):
             case outcome.Success(run):
                 with self.lock:
@@ -403,7 +400,9 @@
                         'job': run.job.id,
                         'listed': len(run.result_log.results),
                         'total': len(run.item_states),
-                        'age_s': round(age, 3),
+                        'age_s': round(
+                            self.state.time.now() - run.job.submitted_at, 3
+                        ),
                     },
                 )
             case outcome.Failure(exc):
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -478,19 +478,20 @@
     assert [x.id for x in page.results] == ['i0']
 
 
-def test_orphaned_job_is_taken_over(stack):
+# Guards against LOST: a job that was open for longer than results of ended
+# jobs are kept was taken over by no daemon.
+@pytest.mark.parametrize('age_s', [0, 119, 121, 7200])
+def test_orphaned_job_is_taken_over(stack, age_s):
     harness = Harness(stack)
     harness.add('t1', COMPLETE_STREAM)
-    new_job = make_job()
+    submitted_at = harness.state.time.now() - age_s
+    new_job = attrs.evolve(make_job(), submitted_at=submitted_at)
     acceptance.accept(harness.store, new_job).unwrap()
     mirror = harness.state.mirrors['job']
     listing = harness.store.list_kind('job').unwrap()
     mirror.apply_listing(
         listing.revision, listing.objects, harness.state.clock.monotonic()
     )
-    harness.state.config = harness.state.config.__class__(
-        name='d1', role='front', datacentre='a', job_kept_s=1e12
-    )
     harness.runner.review_once()
     assert not harness.runner.runs
     since = harness.runner.orphaned_since['j'] - 10
@@ -610,8 +611,7 @@
         number = 1
         while not event.wait(0.3):
             number += 1
-            data = f'id: {number}\ndata: d{number}\n\n'.encode()
-            connection.sendall(b'%x\r\n%s\r\n' % (len(data), data))
+            fake_target.send_event(connection, number)
         connection.sendall(b'0\r\n\r\n')
 
     return step
