Let items run for as long as their results are of use

Callers saw nothing but lateness: an item that takes longer than 60 s was stopped by its target at the deadline of the attempt, the target counted as failed, and the text was read again elsewhere to go on.

Cause: a fixed age for an attempt, whether or not it made progress. Silence is bounded apart from that, by the time between two events.

Change: the deadline of an attempt is the end of the item's lifetime, 3600 s where the route has none.

Measured: test_an_item_may_run_as_long_as_its_result_is_of_use fails with the former constant (a deadline of 60 s) and passes.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -41,8 +41,12 @@
 # Moves of one item: each makes a target read its text again.
 MAX_MOVE_COUNT = 3
 
-# Longest time of one attempt to run an item.
-ATTEMPT_TIMEOUT_S = 60.0
+# Longest time of one attempt to run an item of a route without a lifetime of
+# items.
+ATTEMPT_TIMEOUT_S = 3600.0
+
+# Least time of an attempt, also at the end of the lifetime.
+MIN_ATTEMPT_S = 0.1
 
 SCORING_TIMEOUT_S = 3.0
 
@@ -155,7 +159,8 @@
             headers=self.item_headers(entry.item),
             body=entry.item.body,
             workspace=run.job.workspace,
-            deadline=self.state.clock.monotonic() + ATTEMPT_TIMEOUT_S,
+            deadline=self.state.clock.monotonic()
+            + self.attempt_timeout_s(run, route),
         )
         started_at = self.state.clock.monotonic()
         if not self.is_routed_to(run, target.service):
@@ -210,6 +215,15 @@
                 },
             )
 
+    def attempt_timeout_s(
+        self, run: job_run.JobRun, route: route.Route
+    ) -> float:
+        """Return the time until the result of an item is of no use."""
+        if not route.item_lifetime_s:
+            return ATTEMPT_TIMEOUT_S
+        age_s = self.state.time.now() - run.job.submitted_at
+        return max(route.item_lifetime_s - age_s, MIN_ATTEMPT_S)
+
     def is_routed_to(self, run: job_run.JobRun, service: str) -> bool:
         """Return whether the items of a job run at a service now."""
         current: deployment.Deployment = self.state.deployment
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -679,3 +679,16 @@
     wait_until(lambda: count_requests(*targets) == 272)
     release.set()
     wait_until(lambda: all(run.is_done for run in runs))
+
+
+# Guards against a sound target being stopped, and counted as failed, in the
+# middle of an item that takes longer than a minute.
+@pytest.mark.parametrize('lifetime_s', [0.0, 600.0])
+def test_an_item_may_run_as_long_as_its_result_is_of_use(stack, lifetime_s):
+    harness = Harness(stack, item_lifetime_s=lifetime_s)
+    target = harness.add('t1', COMPLETE_STREAM)
+    submitted_at = harness.state.time.now() - 100.0
+    harness.results(attrs.evolve(make_job(), submitted_at=submitted_at))
+    ((_, sent),) = target.heads
+    left_s = int(sent['x-deadline-ms']) / 1000
+    assert 495 < left_s <= 500 or (not lifetime_s and left_s > 3000)
