Bound the trailer of streamed responses

Cause: the body of a text or stream has no overall bound; time was counted at each part that arrives, and no part arrives after the last chunk.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -35,6 +35,9 @@
 # at the same time.
 EVENT_TIMEOUT_S = 1.3
 
+# Time in which a part of a text must arrive whole, and the trailer after it.
+PART_TIMEOUT_S = 2 * EVENT_TIMEOUT_S
+
 # Events that are read from a slow target before an item is moved from there.
 MIN_SLOW_EVENT_COUNT = 6
 
@@ -301,7 +304,7 @@
         last_event_at = self.state.clock.monotonic()
         event_count = 0
         text_bytes = sum(map(len, entry.texts))
-        for data in response.chunks():
+        for data in response.chunks(part_s=PART_TIMEOUT_S):
             now = self.state.clock.monotonic()
             text_bytes += len(data)
             if text_bytes > MAX_TEXT_BYTES:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -31,6 +31,10 @@
 # target. Callers wait at least that long.
 EVENT_TIMEOUT_S = 2.0
 
+# Time in which a part of a resumable stream must arrive whole, and the trailer
+# after it. One that can't be resumed lasts until its caller leaves.
+PART_TIMEOUT_S = 2 * EVENT_TIMEOUT_S
+
 # Least time to read from a target, even at the deadline.
 MIN_TIMEOUT_S = 0.01
 
@@ -363,7 +367,8 @@
         reader = event_reader.EventReader()
         clock = self.state.clock
         last_event_at = clock.monotonic()
-        for data in response.chunks():
+        part_s = PART_TIMEOUT_S if stream.route.resumable else None
+        for data in response.chunks(part_s=part_s):
             silent_s = clock.monotonic() - last_event_at
             if stream.route.resumable and silent_s > EVENT_TIMEOUT_S:
                 raise ValueError(f'No event for {silent_s:.1f} s.')
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from chestnutshunt_daemon import bounded_socket
+from chestnutshunt_daemon import response_parts
 from chestnutshunt_daemon import target_call
 from chestnutshunt_daemon import target_error
 from chestnutshunt_daemon.targets import response_head
@@ -15,8 +16,6 @@
 
 LOG = logging.getLogger(__name__)
 
-CHUNK_BYTES = 65_536
-
 # Largest body that is kept in memory until it is complete, and the time in
 # which it must arrive.
 MAX_BODY_BYTES = 16_777_216
@@ -66,17 +65,23 @@
         )
 
     def chunks(
-        self, read_s: float | None = None, max_bytes: int | None = None
+        self,
+        read_s: float | None = None,
+        max_bytes: int | None = None,
+        part_s: float | None = None,
     ) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
         Parameters
         ----------
         read_s : float, optional
-            Seconds in which the whole body must arrive. Without it, only the
-            time between two reads is bounded.
+            Seconds in which the whole body must arrive. Without it, the body
+            may have any length, and each part of it is bounded.
         max_bytes : int, optional
             Largest body with its framing in bytes; any by default.
+        part_s : float, optional
+            Seconds in which a part of the body, or its trailer, must arrive.
+            Without it, only the time between two reads is bounded.
 
         Raises
         ------
@@ -84,32 +89,13 @@
             The body ended early, exceeds a bound, or no data arrived for too
             long.
         """
+        is_whole = read_s is not None
         self.sock.limit(read_s, max_bytes)
         with target_call.translate_body_errors(self.target_id):
-            if self.http_response.chunked:
-                yield from self.http_response.read_chunked(CHUNK_BYTES)
-                self.check_last_chunk()
-            else:
-                while data := self.http_response.read1(CHUNK_BYTES):
-                    yield data
-                self.check_length()
-        self.complete = True
-
-    def check_last_chunk(self) -> None:
-        """Raise `ProtocolError` if the connection ended in the last chunk.
-
-        What looks like the last chunk may be the cut-off size of another.
-        """
-        if self.sock.ended:
-            raise urllib3.exceptions.ProtocolError('last chunk cut off')
-
-    def check_length(self) -> None:
-        """Raise `ProtocolError` for a body shorter than Content-Length."""
-        missing_bytes = self.http_response.length_remaining
-        if missing_bytes:
-            raise urllib3.exceptions.ProtocolError(
-                f'{missing_bytes} bytes missing'
+            yield from response_parts.read_parts(
+                self.http_response, self.sock, part_s, is_whole
             )
+        self.complete = True
 
     def body(
         self, read_s: float = BODY_READ_S, max_bytes: int = MAX_BODY_BYTES
--- a/tests/targets/test_endless_answers.py
+++ b/tests/targets/test_endless_answers.py
@@ -146,6 +146,33 @@
         assert step.ended == 'closed'
 
 
+WHOLE = b''.join(
+    b'%x\r\n%s\r\n' % (len(block), block)
+    for block in (b'id: %d\ndata: d%d\n\n' % (n, n) for n in (1, 2, 3))
+)
+CHUNKED_EVENTS = HEAD + b'Transfer-Encoding: chunked\r\n' + EVENTS
+TRAILERS = {
+    'lines': (CHUNKED_EVENTS + WHOLE + b'0\r\n', b'A: b\r\n'),
+    'slow lines': (CHUNKED_EVENTS + WHOLE + b'0\r\n', b'A: b\r\n', 0.05),
+    'a slow line': (CHUNKED_EVENTS + WHOLE + b'0\r\nA: ', b'b', 0.05),
+}
+
+
+# Guards against LOST: a target that went on with its trailer kept the thread
+# of an item until the end of the job, and the item was never listed.
+@pytest.mark.parametrize('kind', TRAILERS)
+def test_a_trailer_without_end_does_not_keep_an_item(kind):
+    step = flood(*TRAILERS[kind])
+    with contextlib.ExitStack() as stack:
+        harness = test_job_runner.Harness(stack)
+        harness.add('t1', step, fake_target.events())
+        (listed,) = harness.results(test_job_runner.make_job())
+        assert listed.complete
+        assert listed.text == 'd1\nd2\nd3'
+        test_job_runner.wait_until(lambda: step.ended)
+        assert step.ended == 'closed'
+
+
 def numbered_flood():
     """Return a step that sends events with rising ids for ever."""
 
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -355,3 +355,24 @@
     assert state.origins.table.find(begun_by) is not None
     clock.advance(61.0)
     assert state.origins.table.find(begun_by) is None
+
+
+# Guards against a stream that never ends, as its target goes on with the
+# trailer.
+@pytest.mark.parametrize('kind', test_endless_answers.TRAILERS)
+def test_a_trailer_without_end_does_not_keep_a_stream(target, kind):
+    endless = test_endless_answers.flood(*test_endless_answers.TRAILERS[kind])
+
+    def step(connection, fields):
+        resumed = 'last-event-id' in fields
+        (fake_target.events() if resumed else endless)(connection, fields)
+
+    response = open_stream(True, target('t1', step), target('t2', step))
+    assert b''.join(response.chunks) == encoded_events(1, 2, 3)
+
+
+def test_a_trailer_without_end_does_not_look_complete(target):
+    step = test_endless_answers.flood(*test_endless_answers.TRAILERS['lines'])
+    response = open_stream(False, target('t1', step))
+    with pytest.raises(errors.TargetFailed):
+        b''.join(response.chunks)
