Bound responses of targets at chestnutshuntd

Callers would see (by test): responses that never end; a body cut off in its last chunk passed on as whole.

Cause: `chestnutshuntd` read heads and bodies with a bound for silence only, and collected rewards and tokens without limit.

Change: heads within 256 KB and the longest silence, each part of a body as on the platform's way, 256 MB a body, 1 MB of rewards, as many tokens as were asked for. A response that isn't passed on as it arrives must be whole by its deadline. The end of the connection within the last chunk is an error.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/engine_execution.py
@@ -50,10 +50,14 @@
         self.request_fields = parse_body(self.request.body)
         self.affinity = self.request_fields['prompt'][:AFFINITY_CHARACTERS]
 
+    @property
+    def max_tokens(self) -> int:
+        """Largest number of tokens of the response."""
+        return self.request_fields.get('max_tokens', DEFAULT_MAX_TOKENS)
+
     def cost(self) -> float:
         """Return the largest number of tokens, with the estimated prompt."""
-        max_tokens = self.request_fields.get('max_tokens', DEFAULT_MAX_TOKENS)
-        return float(max_tokens) + len(self.request_fields['prompt']) / 4
+        return float(self.max_tokens) + len(self.request_fields['prompt']) / 4
 
     def used_tokens(self) -> float:
         """Return the tokens generated, with the estimated prompt."""
@@ -137,6 +141,10 @@
     ) -> None:
         """Collect a token or record the end of the response."""
         if 'token' in fields:
+            if len(self.tokens) >= self.max_tokens:
+                raise self.stream_error(
+                    response, f'sent more than {self.max_tokens} tokens'
+                )
             self.tokens.append(fields['token'])
         elif fields.get('done'):
             self.complete = True
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/execution.py
@@ -245,6 +245,13 @@
         streaming = False
         for chunk in response.body():
             self.check_key()
+            if not streaming and (
+                self.state.clock.monotonic() > self.request.deadline
+            ):
+                raise target_error.TargetError(
+                    f'{response.target_name} was too slow with its response.',
+                    progress.Progress.MAY_HAVE_RUN,
+                )
             if streaming:
                 yield chunk
                 continue
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/scoring.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/scoring.py
@@ -17,6 +17,9 @@
 
 SCORE_PATH = '/score'
 
+# Longest list of rewards.
+MAX_REWARDS_BYTES = 1_048_576
+
 
 def score_group(
     state: node.Node,
@@ -42,11 +45,15 @@
     score_execution = execution.Execution(
         state, request, run_grant, score_attempt
     )
-    data = b''.join(
-        part
-        for part in score_execution.parts()
-        if not isinstance(part, answer_head.AnswerHead)
-    )
+    data = b''
+    for part in score_execution.parts():
+        if isinstance(part, answer_head.AnswerHead):
+            continue
+        data += part
+        if len(data) > MAX_REWARDS_BYTES:
+            raise errors.TargetFailed(
+                f'The scorer sent more than {MAX_REWARDS_BYTES} bytes.'
+            )
     return [
         attrs.evolve(item, reward=reward)
         for item, reward in zip(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -15,9 +15,11 @@
 from chestnutshunt.routing import target
 from chestnutshunt import steps
 from chestnutshunt_daemon import bounded_connection
+from chestnutshunt_daemon import bounded_socket
 from chestnutshunt_daemon import caller_request
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import headers
+from chestnutshunt_daemon import response_parts
 from chestnutshunt_daemon import target_error
 
 __all__ = [
@@ -29,7 +31,14 @@
 ]
 
 CONNECT_TIMEOUT_S = 1.0
-CHUNK_BYTES = 65_536
+
+# Time for a response head beyond the longest silence that is allowed, and its
+# size with interim responses. The first part of the body may count as well.
+HEAD_READ_S = 0.3
+MAX_HEAD_BYTES = 262_144
+
+# Largest body that is passed on; it is not kept in memory.
+MAX_BODY_BYTES = 268_435_456
 
 EXCHANGE_ERRORS = (
     urllib3.exceptions.HTTPError,
@@ -108,6 +117,10 @@
         Response of urllib3.
     target_name : str
         Name of the target, for errors.
+    sock : BoundedSocket
+        Socket that the response is read from.
+    progress_timeout_s : float
+        Seconds in which a part of the body, or its trailer, must arrive.
     complete : bool
         True once the body was read to its end.
     """
@@ -116,6 +129,8 @@
     retry_after_s: float | None
     http_response: urllib3.BaseHTTPResponse
     target_name: str
+    sock: bounded_socket.BoundedSocket
+    progress_timeout_s: float
     complete: bool = False
 
     def body(self) -> Iterator[bytes]:
@@ -124,10 +139,18 @@
         Raises
         ------
         TargetError
-            The body ended early or the target stopped sending.
+            The body ended early, exceeds `MAX_BODY_BYTES`, or the target
+            stopped sending.
         """
+        size = 0
         with translate_body_errors(self.target_name):
-            yield from self.http_response.stream(CHUNK_BYTES)
+            for data in response_parts.read_parts(
+                self.http_response, self.sock, self.progress_timeout_s
+            ):
+                size += len(data)
+                if size > MAX_BODY_BYTES:
+                    raise ValueError('The body is too large.')
+                yield data
         self.complete = True
 
 
@@ -261,6 +284,7 @@
     reused: bool,
 ) -> TargetResponse:
     """Send the request and read the response head."""
+    sock = connection.sock
     with translate_head_errors(chosen_target.name, reused):
         connection.request(
             request.method,
@@ -271,6 +295,7 @@
             decode_content=False,
         )
         steps.reach('target.sent')
+        sock.limit(connection.timeout + HEAD_READ_S, MAX_HEAD_BYTES)
         response = connection.getresponse()
     head = answer_head.AnswerHead(
         response.status, headers.filter_for_caller(response.headers.items())
@@ -280,6 +305,8 @@
         parse_seconds(response.headers.get('Retry-After')),
         response,
         chosen_target.name,
+        sock,
+        request.settings.progress_timeout_s,
     )
 
 
--- /dev/null
+++ b/tests/test_target_call.py
@@ -0,0 +1,121 @@
+"""Responses of targets to requests of `chestnutshuntd`."""
+
+import contextlib
+import json
+
+import pytest
+
+from chestnutshunt.attempts import attempt
+from chestnutshunt.config import service_settings
+from chestnutshunt import errors
+from chestnutshunt.routing import target as routing_target
+from chestnutshunt import system_clock
+from chestnutshunt_daemon import caller_request
+from chestnutshunt_daemon import connection_pool
+from chestnutshunt_daemon import engine_execution
+from chestnutshunt_daemon import target_call
+from chestnutshunt_daemon import target_error
+from tests import daemon_parts
+from tests import fake_target
+from tests.targets import test_endless_answers
+
+
+def make_request(clock, body=b''):
+    return caller_request.CallerRequest(
+        id='q1',
+        service='s',
+        settings=service_settings.ServiceSettings(progress_timeout_s=0.5),
+        method='POST',
+        path='/p/',
+        headers={'X-Request-Id': 'q1'},
+        body=body,
+        deadline=clock.monotonic() + 5,
+    )
+
+
+@contextlib.contextmanager
+def open_response(step):
+    clock = system_clock.SystemClock()
+    pool = connection_pool.ConnectionPool(clock)
+    fake = fake_target.FakeTarget('t1', step)
+    chosen = routing_target.Target('t1', 's', fake.address, 'near')
+    own_attempt = attempt.Attempt('', 'n')
+    request = make_request(clock)
+    with contextlib.closing(fake), contextlib.closing(pool):
+        with target_call.open_response(
+            pool, clock, chosen, request, own_attempt, b'', False
+        ) as response:
+            yield response
+
+
+@pytest.mark.parametrize(
+    'kind',
+    [
+        'interim answers',
+        'header lines',
+        'one header line',
+        'no protocol',
+        'slow header lines',
+        'slow interim answers',
+    ],
+)
+def test_a_head_without_end_fails(kind):
+    step = test_endless_answers.flood(*test_endless_answers.FLOODS[kind])
+    with pytest.raises(target_error.TargetError):
+        with open_response(step):
+            pass
+
+
+@pytest.mark.parametrize('kind', test_endless_answers.TRAILERS)
+def test_a_trailer_without_end_fails(kind):
+    step = test_endless_answers.flood(*test_endless_answers.TRAILERS[kind])
+    with open_response(step) as response:
+        with pytest.raises(target_error.TargetError):
+            list(response.body())
+        assert not response.complete
+
+
+@pytest.mark.parametrize('kind', ['a body without length', 'chunks'])
+def test_a_body_without_end_fails(monkeypatch, kind):
+    monkeypatch.setattr(target_call, 'MAX_BODY_BYTES', 8_000_000)
+    step = test_endless_answers.flood(*test_endless_answers.FLOODS[kind])
+    with open_response(step) as response:
+        with pytest.raises(target_error.TargetError):
+            for _ in response.body():
+                pass
+
+
+# Guards against MIXED: the cut-off size of a chunk looks like the last one.
+@pytest.mark.parametrize('size', range(-5, 0))
+def test_a_body_cut_off_in_its_last_chunk_is_incomplete(size):
+    step = fake_target.cut_off(fake_target.events(1), size)
+    with open_response(step) as response:
+        with pytest.raises(target_error.TargetError):
+            list(response.body())
+
+
+def test_a_cut_off_head_is_no_response():
+    whole = fake_target.respond()
+    length = fake_target.sent_bytes(whole, 'q1')
+    for size in range(1, length - len(b'fine')):
+        with pytest.raises(target_error.TargetError):
+            with open_response(fake_target.cut_off(whole, size)):
+                pass
+
+
+def make_execution(body):
+    state = daemon_parts.make_node()
+    request = make_request(state.clock, body)
+    return engine_execution.EngineExecution(
+        state, request, None, attempt.Attempt('', 'n')
+    )
+
+
+def test_an_engine_sends_no_more_tokens_than_asked_for():
+    body = json.dumps({'prompt': 'x', 'max_tokens': 3}).encode()
+    own_execution = make_execution(body)
+    with open_response(fake_target.respond()) as response:
+        for _ in range(3):
+            own_execution.read_line(response, {'token': 't'})
+        with pytest.raises(errors.TargetFailed, match='more than 3 tokens'):
+            own_execution.read_line(response, {'token': 't'})
