Refuse what a daemon that shuts down can't finish

Cause: a daemon that shuts down refused batch jobs only, took everything else until its end, and closed what was open then.

Change: requests whose deadline lies beyond the end of the shutdown, streams, and late calls about jobs are refused at once as not run. Reads wait no longer than the daemon lasts. What is open at the end is answered with 504.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -6,6 +6,7 @@
 import functools
 import json
 import logging
+import math
 
 import attrs
 
@@ -33,6 +34,13 @@
 # Part of a request's time that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.05
 
+# Longest time for a call about a job, beside the wait for results.
+JOB_CALL_S = 2.0
+
+# Retry-After of requests that come too late in a shutdown: other daemons take
+# them at once.
+DRAINING_RETRY_S = 0.05
+
 JSON_HEADER = ('Content-Type', 'application/json')
 
 # Headers of the caller that are not forwarded to targets.
@@ -77,6 +85,7 @@
         self.stream_forwarder = stream_forwarder
         self.jobs = jobs
         self.watch = watch
+        self.open_tokens: set[cancel_token.CancelToken] = set()
         self.serve = functools.singledispatch(self.serve_unknown)
         self.serve.register(calls.Forward, self.serve_forward)
         self.serve.register(calls.ReadJob, self.serve_read)
@@ -93,6 +102,9 @@
         error = ''
         try:
             response = self.serve(call, request)
+        except cancel_token.CallerLeft as exc:
+            response = error_response(self.stopped_error(exc))
+            error = str(exc)
         except errors.ChestnutshuntError as exc:
             response = error_response(exc)
             error = str(exc)
@@ -104,6 +116,55 @@
         self.record_response(request, call, response.status, seconds, error)
         return response
 
+    def stopped_error(
+        self, exc: cancel_token.CallerLeft
+    ) -> errors.ChestnutshuntError:
+        """Return the error of a request that was cancelled.
+
+        At the end of a shutdown that was not its caller's doing.
+        """
+        if not self.is_stopping:
+            return exc
+        return errors.OutcomeUnknown(
+            'The daemon was stopped before it had the response.'
+        )
+
+    @property
+    def is_stopping(self) -> bool:
+        """True once the time to finish requests in a shutdown has passed."""
+        return self.state.clock.monotonic() >= self.state.stop_at
+
+    def stop_requests(self) -> None:
+        """Cancel all open requests, so that they are answered now."""
+        for token in list(self.open_tokens):
+            token.cancel()
+
+    @contextlib.contextmanager
+    def open_request(
+        self, request: caller_request.CallerRequest
+    ) -> Iterator[cancel_token.CancelToken]:
+        """Yield what cancels a request that its caller waits for."""
+        token = cancel_token.CancelToken()
+        self.open_tokens.add(token)
+        try:
+            with self.watch.on_disconnect(request.connection, token.cancel):
+                yield token
+        finally:
+            self.open_tokens.discard(token)
+
+    def refuse_late(self, end_at: float) -> None:
+        """Raise `Draining` if a request may outlast this daemon.
+
+        Parameters
+        ----------
+        end_at : float
+            Latest end of the request, as monotonic time in seconds.
+        """
+        if end_at > self.state.stop_at:
+            raise errors.Draining(
+                'The daemon is shutting down.', retry_after_s=DRAINING_RETRY_S
+            )
+
     def record_response(
         self,
         request: caller_request.CallerRequest,
@@ -150,7 +211,9 @@
         if grant.route.kind is route_kind.RouteKind.JOBS:
             return self.serve_submit(request, grant)
         outgoing = self.target_request(request, grant)
-        token = cancel_token.CancelToken()
+        is_stream = grant.route.kind is route_kind.RouteKind.STREAM
+        # A stream may go on beyond the deadline of its first event.
+        self.refuse_late(math.inf if is_stream else outgoing.deadline)
         may_send = functools.partial(
             self.admission.is_still_admitted,
             grant,
@@ -158,9 +221,9 @@
             request.path,
             key,
         )
-        if grant.route.kind is route_kind.RouteKind.STREAM:
-            return self.serve_stream(request, grant, outgoing, token, may_send)
-        with self.watch.on_disconnect(request.connection, token.cancel):
+        if is_stream:
+            return self.serve_stream(request, grant, outgoing, may_send)
+        with self.open_request(request) as token:
             response = self.forwarder.forward(
                 outgoing, grant.route, token, may_send
             )
@@ -173,14 +236,11 @@
         request: caller_request.CallerRequest,
         grant: request_grant.RequestGrant,
         outgoing: target_request.TargetRequest,
-        token: cancel_token.CancelToken,
         may_send: Callable[[], bool],
     ) -> caller_response.CallerResponse:
         """Forward a stream as it arrives."""
         stack = contextlib.ExitStack()
-        stack.enter_context(
-            self.watch.on_disconnect(request.connection, token.cancel)
-        )
+        token = stack.enter_context(self.open_request(request))
         try:
             response = self.stream_forwarder.open(
                 outgoing, grant.route, token, may_send
@@ -259,17 +319,30 @@
         self, call: calls.ReadJob, request: caller_request.CallerRequest
     ) -> caller_response.CallerResponse:
         """List results of a job."""
+        self.refuse_late(self.job_call_end())
         workspace = self.admission.workspace(self.codec.key(request.headers))
+        left_s = self.state.stop_at - self.job_call_end()
         page = self.jobs.read(
-            call.job_id, workspace, max(call.after, 0), call.wait_s
+            call.job_id,
+            workspace,
+            max(call.after, 0),
+            min(call.wait_s, left_s),
         )
         body = self.codec.encode_page(page)
         return caller_response.CallerResponse(200, [JSON_HEADER], body)
 
+    def job_call_end(self) -> float:
+        """Return when a call about a job that starts now ends at the latest.
+
+        The wait for results comes on top.
+        """
+        return self.state.clock.monotonic() + JOB_CALL_S
+
     def serve_item(
         self, call: calls.ReadItem, request: caller_request.CallerRequest
     ) -> caller_response.CallerResponse:
         """Return the body of an item."""
+        self.refuse_late(self.job_call_end())
         workspace = self.admission.workspace(self.codec.key(request.headers))
         body = self.jobs.item_body(call.job_id, workspace, call.item_id)
         return caller_response.CallerResponse(200, [], body)
@@ -278,6 +351,7 @@
         self, call: calls.EndJob, request: caller_request.CallerRequest
     ) -> caller_response.CallerResponse:
         """End a job."""
+        self.refuse_late(self.job_call_end())
         workspace = self.admission.workspace(self.codec.key(request.headers))
         self.jobs.end(call.job_id, workspace)
         return caller_response.CallerResponse(200)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -72,6 +72,10 @@
 # Draining ends this long before the platform kills the process.
 STOP_MARGIN_S = 1.0
 
+# Time to answer the requests that are open at the end of the drain; a part of
+# `STOP_MARGIN_S`.
+ANSWER_S = 0.3
+
 # Time between two checks of whether a draining daemon is idle.
 DRAIN_POLL_S = 0.05
 
@@ -116,11 +120,14 @@
         HTTP server for callers.
     runner : JobRunner
         Runs jobs.
+    front : FrontService
+        Handles the requests of callers.
     """
 
     state: fleet_state.FleetState
     server: caller_server.CallerServer
     runner: job_runner.JobRunner
+    front: front_service.FrontService
 
     @property
     def is_busy(self) -> bool:
@@ -235,7 +242,7 @@
         )
         # Signals all threads to end before any of them is joined.
         stack.callback(state.stopped.set)
-        yield FleetDaemon(state, server, runner)
+        yield FleetDaemon(state, server, runner, front)
 
 
 def read_periods_s(state: fleet_state.FleetState) -> dict[str, float]:
@@ -264,23 +271,28 @@
 
 
 def drain(daemon: FleetDaemon) -> None:
-    """Finish open requests and runs, and accept no new ones.
+    """Finish open requests and runs, and accept none that could not finish.
 
     Returns when the daemon is idle, at the latest `STOP_MARGIN_S` before the
-    platform kills the process.
+    platform kills the process. Requests that are open then are answered with
+    an error.
     """
     state = daemon.state
     started_at = state.clock.monotonic()
+    state.stop_at = started_at + state.config.stop_s - STOP_MARGIN_S
     state.leaving.set()
     daemon.server.draining.set()
     LOG.info('Daemon stopping', extra={'in_flight': daemon.server.in_flight})
     state.wake_peers()
-    deadline_at = started_at + state.config.stop_s - STOP_MARGIN_S
-    while state.clock.monotonic() < deadline_at:
+    while state.clock.monotonic() < state.stop_at:
         delay_elapsed = (
             state.clock.monotonic() - started_at > READINESS_DELAY_S
         )
         if delay_elapsed and not daemon.is_busy:
             break
         state.clock.sleep(DRAIN_POLL_S)
+    daemon.front.stop_requests()
+    answered_at = state.clock.monotonic() + ANSWER_S
+    while daemon.server.in_flight and state.clock.monotonic() < answered_at:
+        state.clock.sleep(DRAIN_POLL_S)
     LOG.info('Daemon stopped', extra={'in_flight': daemon.server.in_flight})
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
+import math
 import random
 import secrets
 import threading
@@ -70,8 +71,9 @@
 class FleetState:
     """State of one daemon.
 
-    The callables are set by the parts that implement them and do nothing
-    until then.
+    `stop_at` is the monotonic time in seconds at which a daemon that shuts
+    down ends the requests that are still open. The callables are set by the
+    parts that implement them and do nothing until then.
 
     Parameters
     ----------
@@ -152,6 +154,7 @@
         )
         self.running_job_ids: Callable[[], list[str]] = list
         self.leaving = threading.Event()
+        self.stop_at = math.inf
         self.stopped = threading.Event()
         self.wake_peers: Callable[[], None] = lambda: None
         self.pull_from: Callable[[str, list[str]], None] = lambda *_: None
