Check which process answers before a stream goes on there

Cause: registrations are up to 0.6 s old, and the expected instance that a request names is the id, which the next process bears, too.

Change: before the first event of a stream or text that goes on over a new connection is used, the target's registration is read from the store. If it names another start or other software, or is gone, the response is dropped.

The tests of `next_process` replace the check by a function that did not exist before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -42,6 +42,7 @@
 from chestnutshunt_daemon import supervised_thread
 from chestnutshunt_daemon.targets import exchange
 from chestnutshunt_daemon.targets import forwarder
+from chestnutshunt_daemon.targets import process_check
 from chestnutshunt_daemon.targets import stream_forwarder
 from chestnutshunt_daemon.targets import target_codec
 from chestnutshunt_daemon.wire import fleet_pb2_grpc
@@ -151,6 +152,8 @@
         stack.callback(pool.close)
         state.replicas.has_connection = pool.has_idle
         store = relayed_store.RelayedStore(state, adapter.store, clients)
+        check = process_check.ProcessCheck(state, store)
+        state.replicas.is_current = check.is_current
         exchanger = exchange.Exchanger(
             pool,
             adapter.target_codec,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -184,6 +184,9 @@
                 if not self.check_head(run, entry, route, target, response):
                     outcome = f'status {response.head.status} not used'
                     return False
+                if not self.may_go_on(entry, target, response):
+                    outcome = 'another process'
+                    return False
                 self.read_events(run, entry, route, target, response)
             entry.text_complete = True
             self.state.replicas.state(target).breaker.record_success()
@@ -290,6 +293,28 @@
                 return False
         return True
 
+    def may_go_on(
+        self,
+        entry: item_state.ItemState,
+        target: replica.Replica,
+        response: target_response.TargetResponse,
+    ) -> bool:
+        """Return whether events of a response may follow those of the text.
+
+        A new connection may belong to the next process of the target.
+        """
+        view = self.state.replicas
+        if (
+            entry.last_event is None
+            or response.reused
+            or view.is_current(target)
+        ):
+            return True
+        view.record_rejection(target)
+        entry.avoided_target = target.id
+        entry.not_before = self.state.clock.monotonic() + BUSY_RETRY_S
+        return False
+
     def read_events(
         self,
         run: job_run.JobRun,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -293,7 +293,12 @@
             if key.lower() not in headers.CONNECTION_HEADERS
         ]
         return target_response.TargetResponse(
-            head, forwarded, response, pending.sock, target_id
+            head,
+            forwarded,
+            response,
+            pending.sock,
+            target_id,
+            pending.reused,
         )
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -173,7 +173,7 @@
             stream.reached_count += int(
                 target.start_key not in stream.stale_keys
             )
-            fault = self.fault_of(stream, response)
+            fault = self.fault_of(stream, target, response)
             if fault:
                 attempt.close()
                 LOG.info(
@@ -196,16 +196,26 @@
     def fault_of(
         self,
         stream: stream_state.StreamState,
+        target: replica.Replica,
         response: target_response.TargetResponse,
     ) -> str:
         """Return why a response is not forwarded, an empty string if it is.
 
         The caller of a stream that has begun can only be sent more events.
+        A connection that was used before belongs to the process that is
+        known; a new one may belong to the next process of the target.
         """
         if response.head.status < 300 and not response.head.signature:
             return 'unsigned'
         if stream.begun and not response.has_events:
             return 'not resumed'
+        if (
+            stream.last_event is not None
+            and response.has_events
+            and not response.reused
+            and not self.state.replicas.is_current(target)
+        ):
+            return 'another process'
         return ''
 
     def choose_target(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
@@ -45,6 +45,8 @@
         Socket that the response is read from.
     target_id : str
         Id of the target, for error messages.
+    reused : bool
+        True if its connection had carried other requests before.
     complete : bool
         True once the body was read to its end.
     """
@@ -54,6 +56,7 @@
     http_response: urllib3.BaseHTTPResponse
     sock: bounded_socket.BoundedSocket
     target_id: str
+    reused: bool = False
     complete: bool = False
 
     @property
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -116,6 +116,9 @@
         self.usual_intervals: dict[str, tuple[float, float]] = {}
         self.has_connection: Callable[[str], bool] = lambda address: True
         self.may_send: Callable[[replica.Replica], bool] = lambda target: True
+        self.is_current: Callable[[replica.Replica], bool] = lambda target: (
+            True
+        )
         mirror.listeners.append(self.refresh)
 
     def refresh(self) -> None:
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -692,3 +692,24 @@
     ((_, sent),) = target.heads
     left_s = int(sent['x-deadline-ms']) / 1000
     assert 495 < left_s <= 500 or (not lifetime_s and left_s > 3000)
+
+
+# Guards against ORDER: the next process of a target may run other software.
+def test_a_text_does_not_go_on_at_the_next_process(stack):
+    def step(connection, fields):
+        resumed = 'last-event-id' in fields
+        part = fake_target.events(1, 2, complete=False, version=5)
+        rest = fake_target.events(3, version=5)
+        (rest if resumed else part)(connection, fields)
+
+    harness = Harness(stack)
+    current = {'t2'}
+    harness.state.replicas.is_current = lambda item: item.id in current
+    first = harness.add('t1', step)
+    run = harness.run(make_job())
+    (entry,) = run.item_states.values()
+    wait_until(lambda: len(first.heads) >= 3)
+    assert (entry.last_event, entry.finished) == (2, False)
+    harness.add('t2', step)
+    wait_until(lambda: run.is_done)
+    assert run.result_log.results[0].text == 'd1\nd2\nd3'
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -376,3 +376,34 @@
     response = open_stream(False, target('t1', step))
     with pytest.raises(errors.TargetFailed):
         b''.join(response.chunks)
+
+
+# Guards against ORDER: a stream went on at a target that had started again
+# under its id with other software, before its registration was read.
+@pytest.mark.parametrize('position', [NEW, TAKEN_UP])
+def test_a_stream_does_not_go_on_at_the_next_process(target, position):
+    def step(connection, fields):
+        resumed = 'last-event-id' in fields
+        first = fake_target.events(1, 2, 3, complete=False)
+        rest = fake_target.events(4, 5)
+        (rest if resumed else first)(connection, fields)
+
+    state = fleet_parts.make_state()
+    fakes = [target(name, step) for name in ('t1', 't2', 't3')]
+    fleet_parts.register(state, *(fake.replica() for fake in fakes))
+    origin = stream_origin.StreamOrigin('s', '')
+    state.origins.table.record('q0', origin)
+    restarted = {'t2'} if position is NEW else {'t1', 't2'}
+    state.replicas.is_current = lambda item: item.id not in restarted
+    state.replicas.rng = random.Random(2)
+    response = open_at(make_forwarder(state), True, position=position)
+    wanted = encoded_events(1, 2, 3, 4, 5)
+    if position is TAKEN_UP:
+        wanted = encoded_events(4, 5)
+    assert b''.join(response.chunks) == wanted
+    resumed_at = [
+        fake.name
+        for fake in fakes
+        if any('last-event-id' in fields for _, fields in fake.heads)
+    ]
+    assert resumed_at[-1] not in restarted
