Tell resets of full targets from crashes

Cause: any connection that ended without a response counted as a crash. Targets reset connections beyond those that they take.

Change: after a reset the target gets a connection; if it accepts, it lives and the request is not suspected. Connections closed in order, and those of targets that can't be reached, count as before.

Measured: 3 of 4 new tests failed before; the fourth keeps that a reset by a target that is gone is a crash.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -25,12 +25,14 @@
 __all__ = [
     'TargetResponse',
     'connect',
+    'may_have_crashed',
     'open_response',
     'translate_body_errors',
     'translate_head_errors',
 ]
 
 CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.2
 
 # Time for a response head beyond the longest silence that is allowed, and its
 # size with interim responses. The first part of the body may count as well.
@@ -71,7 +73,11 @@
     except CLOSED_ERRORS as exc:
         message = f'{target_name} closed the connection: {type(exc).__name__}.'
         raise target_error.TargetError(
-            message, attempt_progress, crashed=not reused, stale=reused
+            message,
+            attempt_progress,
+            crashed=not reused,
+            stale=reused,
+            was_reset=is_reset(exc),
         ) from exc
     except EXCHANGE_ERRORS as exc:
         message = f'{target_name} did not respond: {type(exc).__name__}.'
@@ -276,6 +282,36 @@
     return connection
 
 
+def is_reset(exc: Exception) -> bool:
+    """Return whether a connection was reset, and not closed in order."""
+    return isinstance(exc, ConnectionError) and not isinstance(
+        exc, http.client.RemoteDisconnected
+    )
+
+
+def may_have_crashed(
+    failure: target_error.TargetError, target_name: str, address: str
+) -> bool:
+    """Return whether a failure looks like the crash of its target."""
+    return failure.crashed and not (
+        failure.was_reset and is_reachable(target_name, address)
+    )
+
+
+def is_reachable(target_name: str, address: str) -> bool:
+    """Return whether a target accepts connections.
+
+    One that resets connections because it has too many still does; one that
+    has crashed does not until it has started again.
+    """
+    try:
+        connection = connect(target_name, address, PROBE_TIMEOUT_S)
+    except target_error.TargetError:
+        return False
+    connection.close()
+    return True
+
+
 def send(
     connection: urllib3.connection.HTTPConnection,
     chosen_target: target.Target,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
@@ -15,6 +15,9 @@
         Progress of the attempt when it failed.
     crashed : bool
         True if the target closed the connection after the request was sent.
+    was_reset : bool
+        True if it did so with a reset: it may have crashed, or have more
+        connections than it takes.
     stale : bool
         True if a pooled connection was closed after the request was sent on
         it. A new connection to the target tells why: the connection had been
@@ -38,6 +41,7 @@
         moved: bool = False,
         withheld: bool = False,
         unreachable: bool = False,
+        was_reset: bool = False,
     ) -> None:
         super().__init__(message)
         self.attempt_progress = reached
@@ -46,3 +50,4 @@
         self.moved = moved
         self.withheld = withheld
         self.unreachable = unreachable
+        self.was_reset = was_reset
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -10,6 +10,7 @@
 from chestnutshunt import errors
 from chestnutshunt.replicas import replica
 from chestnutshunt_daemon.fleet import fleet_state
+from chestnutshunt_daemon import target_call
 from chestnutshunt_daemon import target_error
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import exchange
@@ -354,9 +355,9 @@
             pending.stale_target = target
             return
         self.state.replicas.state(target).breaker.record_failure()
-        if exc.crashed or (
-            exc.unreachable and target.start_key in pending.stale_keys
-        ):
+        if exc.unreachable and target.start_key in pending.stale_keys:
+            self.record_crash(pending, target)
+        elif target_call.may_have_crashed(exc, target.id, target.address):
             self.record_crash(pending, target)
         if not sent:
             pending.unavailable_ids.add(target.id)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_forwarder.py
@@ -13,6 +13,7 @@
 from chestnutshunt.replicas import replica
 from chestnutshunt.streams import origin_table
 from chestnutshunt_daemon.fleet import fleet_state
+from chestnutshunt_daemon import target_call
 from chestnutshunt_daemon import target_error
 from chestnutshunt_daemon.targets import cancel_token
 from chestnutshunt_daemon.targets import exchange
@@ -436,7 +437,9 @@
         elif not exc.withheld:
             self.state.replicas.state(target).breaker.record_failure()
         was_stale = target.start_key in stream.stale_keys
-        if exc.crashed or (exc.unreachable and was_stale):
+        if exc.unreachable and was_stale:
+            self.record_crash(stream, target)
+        elif target_call.may_have_crashed(exc, target.id, target.address):
             self.record_crash(stream, target)
         if sent and (exc.stale or not was_stale):
             stream.reached_count += 1
--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 
@@ -97,6 +98,23 @@
     connection.shutdown(socket.SHUT_RDWR)
 
 
+def reset(connection, fields):
+    """Reset the connection, as a target with too many of them does."""
+    linger = struct.pack('ii', 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+def reset_and_crash(target):
+    """Return a step that ends a target whose connections are reset."""
+
+    def step(connection, fields):
+        target().stop_listening()
+        reset(connection, fields)
+
+    return step
+
+
 def crash(target):
     """Return a step that ends a target; new connections are refused."""
 
--- a/tests/targets/test_forwarder.py
+++ b/tests/targets/test_forwarder.py
@@ -336,3 +336,28 @@
     window = harness.state.counts.window_at(harness.state.time.now())
     near = [harness.state.counts.fleet_totals(window - n) for n in (0, 1)]
     assert sum(counts.get('w', 0) for counts in near) == 1
+
+
+# Guards against DENIED: requests that targets with too many connections had
+# reset were refused by all daemons, as if they had crashed them.
+@pytest.mark.parametrize('kind', [KINDS.IDEMPOTENT, KINDS.ONCE])
+def test_a_target_that_resets_connections_has_not_crashed(target, kind):
+    fakes = [target(name, fake_target.reset) for name in ('t1', 't2')]
+    harness = Harness(*fakes)
+    for _ in range(3):
+        with pytest.raises(errors.TargetFailed):
+            harness.send(make_route(kind))
+        harness.state.clock.sleep(0.3)
+    assert not harness.state.quarantine.snapshot()
+
+
+def test_a_reset_by_a_target_that_is_gone_is_a_crash(target):
+    fakes = []
+    for name in ('t1', 't2'):
+        step = fake_target.reset_and_crash(lambda n=name: fakes[int(n[1]) - 1])
+        fakes.append(target(name, step))
+    harness = Harness(*fakes)
+    with pytest.raises(errors.ChestnutshuntError):
+        harness.send(make_route())
+    (crashes,) = harness.state.quarantine.snapshot().values()
+    assert len(crashes) == 2
--- a/tests/targets/test_stream_forwarder.py
+++ b/tests/targets/test_stream_forwarder.py
@@ -407,3 +407,12 @@
         if any('last-event-id' in fields for _, fields in fake.heads)
     ]
     assert resumed_at[-1] not in restarted
+
+
+def test_a_stream_that_targets_reset_has_not_crashed_them(target):
+    state = fleet_parts.make_state()
+    fakes = [target(name, fake_target.reset) for name in ('t1', 't2')]
+    fleet_parts.register(state, *(fake.replica() for fake in fakes))
+    with pytest.raises(errors.TargetFailed):
+        open_at(make_forwarder(state), True)
+    assert not state.quarantine.snapshot()
