Take a reset of a new connection for a sign of life

Change: only a refused or unanswered connection makes a target unreachable. A crash that is counted against a request is logged.

One of 4 new cases failed before.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -276,8 +276,13 @@
         connection.connect()
     except EXCHANGE_ERRORS as exc:
         message = f'Connecting to {target_name} failed: {type(exc).__name__}.'
+        # A listener that is there may reset a connection as soon as it is
+        # open; without one it is refused.
+        cause = exc.__cause__ or exc
         raise target_error.TargetError(
-            message, progress.Progress.NOT_SENT, unreachable=True
+            message,
+            progress.Progress.NOT_SENT,
+            unreachable=not isinstance(cause, ConnectionResetError),
         ) from exc
     return connection
 
@@ -305,10 +310,9 @@
     has crashed does not until it has started again.
     """
     try:
-        connection = connect(target_name, address, PROBE_TIMEOUT_S)
-    except target_error.TargetError:
-        return False
-    connection.close()
+        connect(target_name, address, PROBE_TIMEOUT_S).close()
+    except target_error.TargetError as exc:
+        return not exc.unreachable
     return True
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -366,6 +366,7 @@
         self, pending: forward_state.ForwardState, target: replica.Replica
     ) -> None:
         """Record that a target crashed while it ran the request."""
+        self.log_attempt(pending, target, 'crashed')
         if not pending.is_owed:
             self.state.quarantine.record_crash(
                 pending.digest, target.start_key
--- a/tests/test_target_call.py
+++ b/tests/test_target_call.py
@@ -4,12 +4,14 @@
 import json
 
 import pytest
+import urllib3
 
 from chestnutshunt.attempts import attempt
 from chestnutshunt.config import service_settings
 from chestnutshunt import errors
 from chestnutshunt.routing import target as routing_target
 from chestnutshunt import system_clock
+from chestnutshunt_daemon import bounded_connection
 from chestnutshunt_daemon import caller_request
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import engine_execution
@@ -119,3 +121,26 @@
             own_execution.read_line(response, {'token': 't'})
         with pytest.raises(errors.TargetFailed, match='more than 3 tokens'):
             own_execution.read_line(response, {'token': 't'})
+
+
+# Guards against DENIED: a full target resets connections as soon as they are
+# open, and counted as gone.
+@pytest.mark.parametrize(
+    ('cause', 'unreachable'),
+    [
+        (ConnectionRefusedError(), True),
+        (TimeoutError(), True),
+        (OSError('no route'), True),
+        (ConnectionResetError(), False),
+    ],
+)
+def test_a_target_that_resets_new_connections_is_there(
+    monkeypatch, cause, unreachable
+):
+    def fail(connection):
+        raise urllib3.exceptions.NewConnectionError(connection, '') from cause
+
+    monkeypatch.setattr(bounded_connection.BoundedConnection, 'connect', fail)
+    with pytest.raises(target_error.TargetError) as caught:
+        target_call.connect('t1', '127.0.0.1:1', 0.1)
+    assert caught.value.unreachable is unreachable
