Keep one job from holding up the starts of others

Cause: the types of a job's fields were not checked; an error at one job ended the round of the thread that starts items.

An error while items of a job are started is logged and ends that job's turn.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -216,7 +216,14 @@
                 list(self.runs.values()),
                 key=lambda run: (run.job.submitted_at, run.job.id),
             ):
-                self.start_items(run)
+                self.start_items_safely(run)
+
+    def start_items_safely(self, run: job_run.JobRun) -> None:
+        """Start items of a job; an error must not keep back other jobs."""
+        try:
+            self.start_items(run)
+        except Exception:
+            LOG.exception('Starting items of job %s failed', run.job.id)
 
     def start_items(self, run: job_run.JobRun) -> None:
         """Start as many items of a job as there are free slots."""
--- a/tests/platform/test_caller_codec.py
+++ b/tests/platform/test_caller_codec.py
@@ -23,6 +23,12 @@
         {'items': [{**ITEM, 'body': 'x'}]},
         {'items': [{**ITEM, 'scorer': 'none'}]},
         {'items': [{'path': '/p/'}]},
+        {'items': [ITEM], 'minVersion': '1'},
+        {'items': [ITEM], 'step': None},
+        {'items': [ITEM], 'desired': 1.5},
+        {'items': [ITEM], 'model': 7},
+        {'items': [{**ITEM, 'id': 7}]},
+        {'items': [{**ITEM, 'group': []}]},
     ],
 )
 def test_malformed_job_is_a_bad_request(value):
