Do not charge targets with requests that can't be written

Cause: the error raised while the request is written counted as a failure of the target, and the item was tried again after 50 ms.

Change: such values are sent in UTF-8. A request that still can't be written counts as not sent and no fault of the target; its item waits 0.2 s.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -429,7 +429,10 @@
 
         The next one resumes after the last event that was read.
         """
-        entry.not_before = self.state.clock.monotonic() + BUSY_RETRY_S
+        now = self.state.clock.monotonic()
+        entry.not_before = now + BUSY_RETRY_S
+        if getattr(exc, 'withheld', False):
+            entry.not_before = now + FAILURE_RETRY_S
         is_target_fault = not isinstance(
             exc, target_error.TargetError
         ) or not (exc.stale or exc.withheld)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_error.py
@@ -29,7 +29,7 @@
         reclaimed.
     withheld : bool
         True if this daemon did not send the request, as the target's rate
-        limit does not allow it or the target leaves.
+        limit does not allow it, the target leaves, or it can't be written.
     """
 
     def __init__(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
+import http.client
 import logging
 import select
 
@@ -217,8 +218,11 @@
         )
         pending.connection.timeout = SEND_TIMEOUT_S
         pending.connection.sock.settimeout(SEND_TIMEOUT_S)
-        with target_call.translate_head_errors(
-            pending.replica.id, pending.reused
+        with (
+            target_call.translate_head_errors(
+                pending.replica.id, pending.reused
+            ),
+            reject_malformed(request.id),
         ):
             self.write_request(
                 pending.connection, request, self.codec.encode_headers(context)
@@ -254,7 +258,7 @@
         )
         for name, value in request.headers:
             if name.lower() not in dropped:
-                fields.add(name, value)
+                fields.add(name, encodable(value))
         for name, value in reserved.items():
             fields.add(name, value)
         if 'User-Agent' not in fields:
@@ -302,6 +306,41 @@
         )
 
 
+def encodable(value: str) -> str:
+    """Return a header value that is sent in UTF-8 if Latin-1 lacks a letter.
+
+    The standard library encodes header values in Latin-1.
+    """
+    try:
+        value.encode('latin-1')
+    except UnicodeEncodeError:
+        return value.encode().decode('latin-1')
+    return value
+
+
+@contextlib.contextmanager
+def reject_malformed(request_id: str) -> Iterator[None]:
+    """Translate the error of a request that can't be written.
+
+    Raises
+    ------
+    TargetError
+        Nothing was sent, and the target has no part in it.
+    """
+    try:
+        yield
+    except (ValueError, http.client.InvalidURL) as exc:
+        LOG.warning(
+            'Request cannot be written',
+            extra={'request': request_id, 'error': repr(exc)},
+        )
+        raise target_error.TargetError(
+            f'The request cannot be written: {exc!r}.',
+            progress.Progress.NOT_SENT,
+            withheld=True,
+        ) from exc
+
+
 def wait_any(
     exchanges: Sequence[open_exchange.OpenExchange], timeout_s: float
 ) -> list[open_exchange.OpenExchange]:
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -713,3 +713,53 @@
     harness.add('t2', step)
     wait_until(lambda: run.is_done)
     assert run.result_log.results[0].text == 'd1\nd2\nd3'
+
+
+def with_headers(new_job, **headers):
+    own = attrs.evolve(new_job.items[0], headers=headers)
+    return attrs.evolve(new_job, items=(own,))
+
+
+def test_a_header_beyond_latin_1_is_sent_in_utf_8(stack):
+    harness = Harness(stack)
+    target = harness.add('t1', COMPLETE_STREAM)
+    (listed,) = harness.results(with_headers(make_job(), X_Run='Yağmurluk'))
+    assert listed.complete
+    ((_, sent),) = target.heads
+    assert sent['x_run'] == 'yağmurluk'
+
+
+# Guards against LOST: an item that can't be written had all targets ejected,
+# and nobody's items ran as long as its job was open.
+@pytest.mark.parametrize(
+    'broken',
+    [
+        with_headers(make_job('a'), X_Run='one\r\ntwo'),
+        with_headers(make_job('a'), **{'a\r\nb': 'c'}),
+        attrs.evolve(
+            make_job('a'),
+            items=(attrs.evolve(make_job().items[0], path='/model/ğ x'),),
+        ),
+    ],
+)
+def test_an_item_that_cannot_be_written_keeps_back_no_other(stack, broken):
+    harness = Harness(stack)
+    target = harness.add('t1', COMPLETE_STREAM)
+    run = harness.run(broken)
+    time.sleep(0.5)
+    view = harness.state.replicas
+    assert view.is_healthy(view.replicas['t1'])
+    (listed,) = harness.results(make_job('b', prefix='b'))
+    assert listed.complete
+    assert len(target.heads) == 1
+    assert not run.order[0].finished
+
+
+# Guards against LOST: an error in one job kept back all younger ones.
+def test_a_job_that_cannot_be_started_keeps_back_no_other(stack):
+    harness = Harness(stack)
+    harness.add('t1', COMPLETE_STREAM)
+    older = attrs.evolve(make_job('a'), submitted_at=-1.0, minimum_version='1')
+    harness.run(older)
+    (listed,) = harness.results(make_job('b', prefix='b'))
+    assert listed.complete
