Reserve memory before callers' bodies are read

Cause: a job takes seven to nine times its text while it is accepted, and nothing bounded the bodies of all callers together.

Change: memory is reserved before a body is read, or as its chunks come, nine times its size for a job and twice for another request, out of 0.6 of the VM's memory beyond 90 MB. What does not fit is refused with 503.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 import contextlib
 import functools
-import json
 import logging
 import math
 
@@ -18,6 +17,7 @@
 from chestnutshunt_daemon.callers import caller_response
 from chestnutshunt_daemon.callers import caller_watch
 from chestnutshunt_daemon.callers import calls
+from chestnutshunt_daemon.callers import error_response
 from chestnutshunt_daemon.callers import request_grant
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon import headers
@@ -34,6 +34,11 @@
 # Part of a request's time that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.05
 
+# Memory that a byte of a body takes while the request is served: for a job its
+# text, the decoded items and their stored form, else the body and its copy.
+JOB_WEIGHT = 9.0
+REQUEST_WEIGHT = 2.0
+
 # Longest time for a call about a job, beside the wait for results.
 JOB_CALL_S = 2.0
 
@@ -41,8 +46,6 @@
 # them at once.
 DRAINING_RETRY_S = 0.05
 
-JSON_HEADER = ('Content-Type', 'application/json')
-
 # Headers of the caller that are not forwarded to targets.
 NOT_FORWARDED = headers.UNFORWARDED_HEADERS | {'authorization'}
 
@@ -103,14 +106,16 @@
         try:
             response = self.serve(call, request)
         except cancel_token.CallerLeft as exc:
-            response = error_response(self.stopped_error(exc))
+            response = error_response.error_response(self.stopped_error(exc))
             error = str(exc)
         except errors.ChestnutshuntError as exc:
-            response = error_response(exc)
+            response = error_response.error_response(exc)
             error = str(exc)
         except Exception as exc:
             LOG.exception('Unexpected error while handling a request')
-            response = error_response(errors.ChestnutshuntError(repr(exc)))
+            response = error_response.error_response(
+                errors.ChestnutshuntError(repr(exc))
+            )
             error = repr(exc)
         seconds = self.state.clock.monotonic() - request.arrived_at
         self.record_response(request, call, response.status, seconds, error)
@@ -165,6 +170,14 @@
                 'The daemon is shutting down.', retry_after_s=DRAINING_RETRY_S
             )
 
+    def body_weight(self, host: str, path: str) -> float:
+        """Return the memory that a byte of a request's body takes."""
+        current = self.state.deployment
+        route = current.match_route(host, path) if current else None
+        if route is not None and route.kind is route_kind.RouteKind.JOBS:
+            return JOB_WEIGHT
+        return REQUEST_WEIGHT
+
     def record_response(
         self,
         request: caller_request.CallerRequest,
@@ -329,7 +342,9 @@
             min(call.wait_s, left_s),
         )
         body = self.codec.encode_page(page)
-        return caller_response.CallerResponse(200, [JSON_HEADER], body)
+        return caller_response.CallerResponse(
+            200, [error_response.JSON_HEADER], body
+        )
 
     def job_call_end(self) -> float:
         """Return when a call about a job that starts now ends at the latest.
@@ -363,20 +378,3 @@
     """Yield chunks; close the stack after the last one or an error."""
     with stack:
         yield from chunks
-
-
-def error_response(
-    exc: errors.ChestnutshuntError,
-) -> caller_response.CallerResponse:
-    """Return the JSON response for an error."""
-    response_headers = [JSON_HEADER]
-    if exc.retry_after_s is not None:
-        response_headers.append(('Retry-After', str(exc.retry_after_s)))
-    value = {
-        'error': exc.kind,
-        'message': exc.message,
-        'remedy': exc.remedy,
-    }
-    return caller_response.CallerResponse(
-        exc.status, response_headers, json.dumps(value).encode()
-    )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -234,6 +234,8 @@
                 front.handle,
                 config.caller_threads,
                 state.clock,
+                config.body_memory_bytes,
+                front.body_weight,
             )
         )
         mirror = state.mirrors[state.schema.config_kind]
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
@@ -16,6 +16,10 @@
 BASE_MEMORY_MB = 90
 ITEM_MEMORY_MB = 0.15
 
+# Part of the memory beside that for callers' bodies, and the least of it.
+BODY_RATIO = 0.6
+MIN_SPARE_MB = 30
+
 # Items that a daemon runs concurrently, however small or large its VM.
 MIN_RUNNING_ITEMS = 160
 MAX_RUNNING_ITEMS = 1500
@@ -112,6 +116,12 @@
             return self.threads
         return THREADS if self.capacity >= 1.0 else SMALL_VM_THREADS
 
+    @property
+    def body_memory_bytes(self) -> int:
+        """Memory for the bodies of callers' requests in process."""
+        spare_mb = max(self.memory_mb - BASE_MEMORY_MB, MIN_SPARE_MB)
+        return int(BODY_RATIO * spare_mb * 1_000_000)
+
     @property
     def running_items(self) -> int:
         """Items of jobs that the daemon runs concurrently."""
--- a/packages/chestnutshunt/chestnutshunt/errors.py
+++ b/packages/chestnutshunt/chestnutshunt/errors.py
@@ -150,6 +150,14 @@
     remedy = 'Send the request again; the balancer has other daemons.'
 
 
+class OutOfMemory(ChestnutshuntError):
+    """The request does not fit beside those that are in process."""
+
+    kind = 'out_of_memory'
+    status = 503
+    remedy = 'Send it again later, to a larger VM, or in smaller parts.'
+
+
 class NotReady(ChestnutshuntError):
     """The requested resource does not exist yet."""
 
--- a/tests/callers/test_caller_server.py
+++ b/tests/callers/test_caller_server.py
@@ -1,6 +1,7 @@
 """Requests whose callers leave while they send."""
 
 import socket
+import threading
 
 import pytest
 
@@ -58,3 +59,72 @@
     assert not bodies
     assert send(address, whole).startswith(b'HTTP/1.1 200')
     assert bodies == [b'0123456789']
+
+
+def body_head(length):
+    return HEAD + b'Content-Length: %d\r\n\r\n' % length
+
+
+def chunked(data, size=50_000):
+    parts = [data[at : at + size] for at in range(0, len(data), size)]
+    framed = b''.join(b'%x\r\n%s\r\n' % (len(x), x) for x in parts)
+    return HEAD + b'Transfer-Encoding: chunked\r\n\r\n' + framed + b'0\r\n\r\n'
+
+
+@pytest.fixture
+def small():
+    bodies = []
+    entered = threading.Semaphore(0)
+    release = threading.Event()
+
+    def handle(request):
+        bodies.append(len(request.body))
+        entered.release()
+        release.wait(TIMEOUT_S)
+        return caller_response.CallerResponse(200, [], b'done')
+
+    address = cluster.free_address()
+    with caller_server.caller_server(
+        address,
+        handle,
+        4,
+        system_clock.SystemClock(),
+        1_000_000,
+        lambda host, path: 4.0 if path == '/x' else 1.0,
+    ) as server:
+        yield address, bodies, entered, release, server
+        release.set()
+
+
+# Guards against LOST and Fault: bodies within the operator's limit took a
+# daemon over its memory, with the requests of all its callers.
+@pytest.mark.parametrize('framed', ['length', 'chunks'])
+@pytest.mark.parametrize(
+    ('size', 'status'), [(60_000, 200), (240_000, 200), (260_000, 503)]
+)
+def test_a_body_beyond_the_memory_is_refused(small, framed, size, status):
+    address, bodies, _, release, server = small
+    release.set()
+    data = b'x' * size
+    whole = body_head(size) + data if framed == 'length' else chunked(data)
+    received = send(address, whole)
+    assert received.startswith(b'HTTP/1.1 %d' % status)
+    assert bodies == ([size] if status == 200 else [])
+    if status == 503:
+        assert b'Retry-After' in received
+        assert b'"out_of_memory"' in received
+    assert server.budget.used_bytes == 0
+
+
+def test_bodies_in_process_count_together(small):
+    address, bodies, entered, release, server = small
+    whole = body_head(150_000) + b'x' * 150_000
+    thread = threading.Thread(target=send, args=(address, whole))
+    thread.start()
+    assert entered.acquire(timeout=TIMEOUT_S)
+    assert send(address, whole).startswith(b'HTTP/1.1 503')
+    release.set()
+    thread.join()
+    assert send(address, whole).startswith(b'HTTP/1.1 200')
+    assert bodies == [150_000, 150_000]
+    assert server.budget.used_bytes == 0
