Give the thread back if no target could be chosen

Found on reading the change: an error while a target is chosen kept the thread that had been taken for the item, one at each round, until no item of any job could start. Jobs without a model were not counted where a daemon looks whether it has room.

Measured: test_a_job_that_cannot_be_started_keeps_back_no_other now waits until all threads are free; it failed before this change only if it ran longer than the threads lasted.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/body_budget.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/body_budget.py
@@ -8,7 +8,7 @@
 
 __all__ = ['BodyBudget', 'BodyReservation']
 
-# An uncounted body: the memory of a thread is larger.
+# Bodies up to this size are not counted.
 FREE_BYTES = 65_536
 
 RETRY_AFTER_S = 1.0
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -62,11 +62,6 @@
 MAX_READABLE_RUNS_COUNT = 16
 
 
-def is_any(entry: item_state.ItemState) -> bool:
-    """Return True: every item counts."""
-    return True
-
-
 class JobRunner:
     """Starts items at targets with free slots; takes over orphaned jobs.
 
@@ -112,7 +107,13 @@
 
         They would if more items could run than this daemon has threads for.
         """
-        items = len(job.items) + sum(self.count_items(is_any).values())
+        unfinished = sum(
+            not entry.finished
+            for run in list(self.runs.values())
+            if not run.ended.is_set()
+            for entry in run.order
+        )
+        items = len(job.items) + unfinished
         slots = self.count_slots(self.service_of(job))
         return min(items, slots) <= self.state.config.running_items
 
@@ -154,7 +155,7 @@
 
     def update_demand(self) -> None:
         """Add the present number of items to the moving averages."""
-        counts = self.count_items(is_any)
+        counts = self.count_items(lambda entry: True)
         for model in counts.keys() | self.mean_items.keys():
             mean = self.mean_items.get(model, 0.0)
             mean += DEMAND_WEIGHT_RATIO * (counts.get(model, 0) - mean)
@@ -216,9 +217,9 @@
                 list(self.runs.values()),
                 key=lambda run: (run.job.submitted_at, run.job.id),
             ):
-                self.start_items_safely(run)
+                self.try_start_items(run)
 
-    def start_items_safely(self, run: job_run.JobRun) -> None:
+    def try_start_items(self, run: job_run.JobRun) -> None:
         """Start items of a job; an error must not keep back other jobs."""
         try:
             self.start_items(run)
@@ -241,22 +242,36 @@
                     run, entry, 'its item lifetime has expired'
                 )
             return
+        blocked_count = self.start_in_turn(run, startable, route)
+        if blocked_count:
+            self.placement.want_permits(run, route, blocked_count)
+
+    def start_in_turn(
+        self,
+        run: job_run.JobRun,
+        startable: list[item_state.ItemState],
+        route: route.Route,
+    ) -> int:
+        """Start items on free threads; return how many lack a free slot."""
         blocked_count = 0
         for index, entry in enumerate(startable):
             # A target is chosen only for a thread that is free: an item that
             # waits must not keep a slot, nor a choice that grows old.
             if not self.free_threads.acquire(blocking=False):
                 break
-            if self.start_item(run, entry, route):
+            started = False
+            try:
+                started = self.start_item(run, entry, route)
+            finally:
+                if not started:
+                    self.free_threads.release()
+            if started:
                 continue
-            self.free_threads.release()
             if not entry.texts:
-                blocked_count += len(startable) - index
-                break
+                return blocked_count + len(startable) - index
             # It may wait for certain targets only, and the next one not.
             blocked_count += 1
-        if blocked_count:
-            self.placement.want_permits(run, route, blocked_count)
+        return blocked_count
 
     def start_item(
         self,
--- a/tests/jobs/test_job_runner.py
+++ b/tests/jobs/test_job_runner.py
@@ -761,5 +761,8 @@
     harness.add('t1', COMPLETE_STREAM)
     older = attrs.evolve(make_job('a'), submitted_at=-1.0, minimum_version='1')
     harness.run(older)
+    time.sleep(0.5)
     (listed,) = harness.results(make_job('b', prefix='b'))
     assert listed.complete
+    free = harness.state.config.running_items
+    wait_until(lambda: harness.runner.free_threads._value == free)
