Reject responses whose status line is malformed

Callers saw statuses 600 and 999 (which the caller's server turned into 500), an unasked 101, and 1xx statuses taken for the answer; a status line such as "HTTP/1.1 0200 OK" or "HTTP/1.x 200 OK" passed as well. Statuses 000, 00 and 99 were handled: callers got 502 before, and their cases are kept as tests.

Cause: http.client takes any whole number from 100 to 999 that int() accepts for a status, any text behind "HTTP/1." for a version, and passes over interim responses of status 100 only.

Evidence: a stand-in that sends 38 spoilt status lines with five bodies, 190 cases.

Change: a head is read by the grammar of RFC 9112, section 4, before the standard library sees it, in the one class of responses that all bounded connections have (targets, replies of the platform, chestnutshuntd). A spoilt status line, a status outside 100 to 599 and a 101 raise MalformedResponse: the attempt failed, its connection is closed, and neither target nor request has crashed. Other 1xx heads are passed over.

Why it works: the standard library is given the head once more in its simplest form and has nothing left to guess.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_connection.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_connection.py
@@ -3,6 +3,7 @@
 import urllib3.connection
 
 from chestnutshunt_daemon import bounded_socket
+from chestnutshunt_daemon.http1 import checked_response
 
 __all__ = ['BoundedConnection', 'ReplyConnection', 'ReplyPool']
 
@@ -12,32 +13,16 @@
 
 
 class BoundedConnection(urllib3.connection.HTTPConnection):
-    """Connection with a `BoundedSocket`, which rejects heads that are cut off.
-
-    The standard library takes the end of a connection for the end of a head.
-    """
+    """Connection with a `BoundedSocket`, which rejects malformed responses."""
 
     sock: bounded_socket.BoundedSocket
+    response_class = checked_response.CheckedResponse
 
     def connect(self) -> None:
         """Connect, and bound the reads of the socket from now on."""
         super().connect()
         self.sock = bounded_socket.bound(self.sock)
 
-    def getresponse(self) -> urllib3.HTTPResponse:
-        """Read the head of a response; raises `ProtocolError`.
-
-        A whole head is read without meeting the end of the connection.
-        """
-        sock = self.sock
-        response = super().getresponse()
-        if sock.ended:
-            response.close()
-            raise urllib3.exceptions.ProtocolError(
-                'The connection ended within the head of a response.'
-            )
-        return response
-
 
 class ReplyConnection(BoundedConnection):
     """Connection of a client that reads every reply whole.
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -19,6 +19,7 @@
 from chestnutshunt_daemon import caller_request
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon import headers
+from chestnutshunt_daemon.http1 import malformed_response
 from chestnutshunt_daemon import response_parts
 from chestnutshunt_daemon import target_error
 
@@ -70,6 +71,9 @@
     attempt_progress = progress.Progress.MAY_HAVE_RUN
     try:
         yield
+    except malformed_response.MalformedResponse as exc:
+        message = f'{target_name} sent a malformed response: {exc}'
+        raise target_error.TargetError(message, attempt_progress) from exc
     except CLOSED_ERRORS as exc:
         message = f'{target_name} closed the connection: {type(exc).__name__}.'
         raise target_error.TargetError(
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -7,6 +7,7 @@
 from chestnutshunt_platform import json_client
 from tests import fake_target
 from tests.jobs import test_job_runner
+from tests import response_heads
 from tests.targets import test_endless_answers
 
 CALL_S = 0.4
@@ -53,3 +54,30 @@
     assert isinstance(outcome.failure(), errors.PlatformUnavailable)
     test_job_runner.wait_until(lambda: step.ended)
     assert step.ended == 'closed'
+
+
+# Guards against writes taken for confirmed, and objects for absent or others.
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('framed', [b'{"a": 1}', b'{"a": 1}more', b'{}'])
+def test_a_reply_with_a_malformed_head_is_none(server, method, framed):
+    wrong = {}
+    for name, lines in response_heads.MALFORMED.items():
+        step = response_heads.respond(lines, b'{"a": 1}', framed)
+        outcome = call(server(step), method)
+        expected = (
+            errors.PlatformUnavailable
+            if method == 'GET'
+            else errors.PlatformUncertain
+        )
+        if not isinstance(outcome, result.Failure):
+            wrong[name] = outcome
+        elif not isinstance(outcome.failure(), expected):
+            wrong[name] = outcome.failure()
+    assert not wrong
+
+
+@pytest.mark.parametrize('lines', response_heads.SOUND.values())
+@pytest.mark.parametrize('close', [True, False])
+def test_a_reply_with_an_odd_but_sound_head_counts(server, lines, close):
+    step = response_heads.respond(lines, b'{"a": 1}', close=close)
+    assert call(server(step)) == result.Success((200, {'a': 1}))
--- /dev/null
+++ b/tests/response_heads.py
@@ -0,0 +1,114 @@
+"""Response heads that break RFC 9110 or 9112, and odd ones that don't.
+
+Each head is that of a response with an id and a signature. `{end}` stands for
+the framing of its body, `{id}` for the id of the request.
+"""
+
+from tests import fake_target
+
+BASE = (
+    'HTTP/1.1 200 OK',
+    'Content-Type: text/event-stream',
+    'X-Request-Id: {id}',
+    'X-Server-Stamp: sig',
+    'X-Weight-Versions: 5',
+    '{end}',
+    'X-Last: 1',
+)
+
+STATUS_LINES = (
+    *(f'HTTP/1.1 {code} OK' for code in ('000', '00', '0', '99', '099')),
+    *(f'HTTP/1.1 {code} OK' for code in ('600', '999', '1000', '2000', '20')),
+    *(f'HTTP/1.1 {code} OK' for code in ('+200', '-200', '2_0', '2x0')),
+    *(f'HTTP/1.1 {code} OK' for code in ('200.', '200,', '\xb200', '0200')),
+    *('HTTP/1.1 200OK', 'HTTP/1.1', 'HTTP/1.1 ', 'HTTP/1.1 OK', '200 OK'),
+    *('HTTP/2.0 200 OK', 'HTTP/0.9 200 OK', 'HTTP/1.x 200 OK'),
+    *('HTTP/1 200 OK', 'HTTP/1.10 200 OK', 'http/1.1 200 OK', 'ICY 200 OK'),
+    *('HTTP/1.1 200 O\0K', 'HTTP/1.1 200 O\x0bK', 'HTTP/1.1 200\rOK'),
+    *('HTTP/1.1 101 Switching Protocols', 'HTTP/1.1\x0b200\x0bOK', ''),
+    *('HTTP/1.1 100 C\r\n\r\nHTTP/1.1 600 X', 'HTTP/1.1 100 C\r\nx\r\n'),
+)
+
+
+def after(line, *lines):
+    """Return the base head with lines behind the one that begins so."""
+    place = 1 + next(n for n, x in enumerate(BASE) if x.startswith(line))
+    return (*BASE[:place], *lines, *BASE[place:])
+
+
+def by_content(lines, build):
+    return {ascii(line): build(line) for line in lines}
+
+
+MALFORMED_STATUS_LINES = by_content(
+    STATUS_LINES, lambda line: (line, *BASE[1:])
+)
+GROUPS = {
+    'status lines': MALFORMED_STATUS_LINES,
+}
+MALFORMED = {
+    name: lines for group in GROUPS.values() for name, lines in group.items()
+}
+
+SOUND = {
+    'as usual': BASE,
+    'no reason': ('HTTP/1.1 200 ', *BASE[1:]),
+    'no space for a reason': ('HTTP/1.1 200', *BASE[1:]),
+    'spaces in the status line': ('HTTP/1.1  200 \t OK ', *BASE[1:]),
+    'a reason beyond ASCII': ('HTTP/1.1 200 \xfcber', *BASE[1:]),
+    'a later minor version': ('HTTP/1.7 200 OK', *BASE[1:]),
+    'any token': after('X-Weight', "!#$%&'*+-.^_`|~09azAZ: 1"),
+    'an empty value': after('X-Weight', 'X-Empty:', 'X-Blank: \t '),
+    'spaces around values': after('X-Weight', 'X-Name:\t  value \t'),
+    'no space': after('X-Weight', 'X-Name:value'),
+    'colons': after('X-Weight', 'X-Name: :a:b:'),
+    'a name like that of a mailbox': after('X-Weight', 'From: x'),
+    'bytes beyond ASCII': after(
+        'X-Weight', 'X-Name: ' + ''.join(map(chr, range(0x80, 0x100)))
+    ),
+    'repeated fields': after('X-Weight', 'X-Name: a', 'X-Name: b'),
+    'letter case': tuple(
+        x if x.startswith(('HTTP', '{')) else x.replace('X-', 'x-')
+        for x in BASE
+    ),
+    'interim responses': (
+        'HTTP/1.1 100 Continue\r\n',
+        'HTTP/1.1 102 Processing\r\n',
+        'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nX-Early: 1\r\n',
+        'HTTP/1.1 199 X\r\n',
+        *BASE,
+    ),
+}
+
+
+def chunked(*chunks):
+    """Return a body in chunks, with the last one."""
+    return b''.join(b'%x\r\n%s\r\n' % (len(x), x) for x in (*chunks, b''))
+
+
+def respond(lines, body, framed=None, close=True):
+    """Return a step that sends a response with such a head.
+
+    Parameters
+    ----------
+    lines : sequence of str
+        Lines of the head.
+    body : bytes
+        Body whose length the head tells, if it tells one.
+    framed : bytes, optional
+        Bytes to send behind the head, if others.
+    close : bool, optional
+        Whether to close the connection then.
+    """
+
+    def step(connection, fields):
+        head = '\r\n'.join((*lines, '', ''))
+        head = head.replace('{end}', f'Content-Length: {len(body)}')
+        head = head.replace('{n}', str(len(body)))
+        head = head.replace('{id}', fields.get('x-request-id', ''))
+        data = head.encode('utf-8' if '\uff14' in head else 'latin-1')
+        connection.sendall(data + (body if framed is None else framed))
+        if close:
+            fake_target.drop(connection, fields)
+
+    return step
--- /dev/null
+++ b/tests/targets/test_malformed_heads.py
@@ -0,0 +1,228 @@
+"""Targets in trouble whose response heads are malformed.
+
+Such a response is no answer: nothing in its head can be trusted, the length
+of its body least of all. Callers have received bodies in part, or together
+with the framing or with what followed them, and texts were listed as complete
+with a part of their events.
+"""
+
+import contextlib
+import random
+
+import pytest
+
+from chestnutshunt import errors
+from tests import fake_target
+from tests.jobs import test_job_runner
+from tests import response_heads
+from tests.targets import test_cut_off_answers
+from tests.targets import test_forwarder
+from tests.targets import test_stream_forwarder
+
+BODY = b'id: 3\ndata: d3\n\nid: 4\ndata: d4\n\n'
+CHUNKS = response_heads.chunked(BODY[:16], BODY[16:])
+FRAMED = {
+    'whole': BODY,
+    'short': BODY[:16],
+    'followed by more': BODY + b'more',
+    'in chunks': CHUNKS,
+    'in chunks, short': CHUNKS[:22],
+}
+
+each_group = pytest.mark.parametrize('group', response_heads.GROUPS)
+
+# Cases of a group that are tried where one takes some tenths of a second.
+SLOW_CASE_COUNT = 12
+SEED = 35
+
+
+def cases(group):
+    """Yield the name of each case and the step that plays it."""
+    for name, lines in response_heads.GROUPS[group].items():
+        for kind, framed in FRAMED.items():
+            step = response_heads.respond(lines, BODY, framed)
+            yield f'{name}, {kind}', step
+
+
+def some_cases(group):
+    """Return cases drawn from a group, always the same."""
+    return random.Random(SEED).sample(list(cases(group)), SLOW_CASE_COUNT)
+
+
+@each_group
+def test_no_request_is_answered(target, group):
+    wrong = {}
+    for name, step in cases(group):
+        harness = test_forwarder.Harness(target('t1', step))
+        with contextlib.suppress(errors.TargetFailed):
+            response = harness.send(test_forwarder.make_route(attempts=1))
+            wrong[name] = (response.head.status, response.body)
+    assert not wrong
+
+
+@each_group
+def test_no_stream_begins(target, group):
+    wrong = {}
+    for number, (name, step) in enumerate(cases(group)):
+        with contextlib.suppress(errors.TargetFailed):
+            response = test_stream_forwarder.open_stream(
+                bool(number % 2), target('t1', step)
+            )
+            received = [response.head.status]
+            wrong[name] = received
+            received.extend(response.chunks)
+    assert not wrong
+
+
+@each_group
+def test_no_stream_goes_on(target, group):
+    wrong = {}
+    for name, step in cases(group):
+        first_or_rest = test_stream_forwarder.first_or_rest(
+            fake_target.events(1, 2, complete=False), step
+        )
+        targets = [target(f't{n}', first_or_rest) for n in range(2)]
+        response = test_stream_forwarder.open_stream(True, *targets)
+        received = []
+        with contextlib.suppress(errors.TargetFailed):
+            received.extend(response.chunks)
+            wrong[name] = 'ended'
+        if len(received) > 2:
+            wrong[name] = received
+    assert not wrong
+
+
+@each_group
+def test_no_item_is_completed(group):
+    wrong = {}
+    with contextlib.ExitStack() as stack:
+        harness = test_job_runner.Harness(stack)
+        for number, (name, step) in enumerate(some_cases(group)):
+            harness.targets.clear()
+            harness.add(
+                f't{number}',
+                fake_target.events(1, 2, complete=False, version=5),
+                step,
+                test_cut_off_answers.rest_after,
+            )
+            job = test_job_runner.make_job(f'j{number}', prefix=f'i{number}-')
+            (listed,) = harness.results(job)
+            if listed.text != 'd1\nd2\nd3\nd4':
+                wrong[name] = listed.text
+    assert not wrong
+
+
+@each_group
+def test_no_score_is_taken(group):
+    wrong = {}
+    with contextlib.ExitStack() as stack:
+        harness = test_job_runner.Harness(stack)
+        for number, (name, step) in enumerate(some_cases(group)):
+            harness.targets.clear()
+            harness.add(f't{number}', fake_target.events(1, version=5))
+            harness.add(
+                f's{number}',
+                step,
+                fake_target.respond(signature='7'),
+                kind='score',
+            )
+            job = test_job_runner.make_job(
+                f'j{number}', prefix=f'i{number}-', scored=True
+            )
+            (listed,) = harness.results(job)
+            if listed.score != '7':
+                wrong[name] = listed.score
+    assert not wrong
+
+
+# Guards against DENIED: requests counted as the cause of crashes.
+@each_group
+def test_neither_target_nor_request_has_crashed(target, group):
+    for name, step in cases(group):
+        targets = [target(f't{n}', step) for n in range(4)]
+        harness = test_forwarder.Harness(*targets)
+        route = test_forwarder.make_route(attempts=2)
+        forwarder = test_stream_forwarder.make_forwarder(
+            harness.state, harness.forwarder.exchanger
+        )
+        with pytest.raises(errors.TargetFailed) as caught:
+            harness.send(route)
+        assert caught.value.status == 502, name
+        with pytest.raises(errors.TargetFailed) as caught:
+            test_stream_forwarder.open_at(forwarder, True, attempts=2)
+        assert caught.value.status == 502, name
+        assert not harness.state.quarantine.snapshot(), name
+
+
+@each_group
+def test_the_connection_is_closed(target, group):
+    for name, lines in response_heads.GROUPS[group].items():
+        step = response_heads.respond(lines, BODY, close=False)
+        bad = target('t1', step)
+        harness = test_forwarder.Harness(bad)
+        with pytest.raises(errors.TargetFailed):
+            harness.send(test_forwarder.make_route(attempts=1))
+        assert bad.disconnected.wait(20), name
+        assert not harness.forwarder.exchanger.pool.idle, name
+
+
+@each_group
+def test_the_request_is_served_elsewhere(target, group):
+    for name, step in some_cases(group):
+        bad = target('t1', step)
+        good = target('t2', fake_target.respond(200, b'right'))
+        harness = test_forwarder.Harness(bad, good)
+        view = harness.state.replicas
+        view.begin_request(view.replicas['t2'])
+        response = harness.send(test_forwarder.make_route(attempts=2))
+        assert response.body == b'right', name
+        assert len(bad.heads) <= 1, name
+
+
+def test_a_request_that_may_run_once_is_not_sent_again(target):
+    for name, step in some_cases('status lines'):
+        targets = [target(f't{n}', step) for n in range(2)]
+        harness = test_forwarder.Harness(*targets)
+        with pytest.raises(errors.TargetFailed) as caught:
+            harness.send(test_forwarder.make_route(test_forwarder.KINDS.ONCE))
+        assert caught.value.status == 502, name
+        assert sum(len(fake.heads) for fake in targets) == 1, name
+
+
+SOUND = {
+    name: response_heads.respond(lines, BODY, close=close)
+    for name, lines in response_heads.SOUND.items()
+    for close in (False, True)
+}
+
+
+@pytest.mark.parametrize('name', SOUND)
+def test_odd_but_sound_heads_are_served(target, name):
+    first = target('t1', SOUND[name])
+    harness = test_forwarder.Harness(first)
+    response = harness.send(test_forwarder.make_route(attempts=1))
+    assert (response.head.status, response.body) == (200, BODY)
+    assert response.head.signature == 'sig'
+    names = {name.lower() for name, _ in response.headers}
+    assert {'x-last', 'content-type'} <= names
+    assert 'x-early' not in names
+
+
+@pytest.mark.parametrize('name', SOUND)
+def test_streams_go_on_behind_odd_but_sound_heads(target, name):
+    first_or_rest = test_stream_forwarder.first_or_rest(
+        fake_target.events(1, 2, complete=False), SOUND[name]
+    )
+    targets = [target(f't{n}', first_or_rest) for n in range(2)]
+    response = test_stream_forwarder.open_stream(True, *targets)
+    received = b''.join(response.chunks)
+    assert received == test_stream_forwarder.encoded_events(1, 2, 3, 4)
+
+
+def test_the_connection_is_used_again_behind_a_sound_head(target):
+    for name, lines in response_heads.SOUND.items():
+        step = response_heads.respond(lines, BODY, close=False)
+        harness = test_forwarder.Harness(target('t1', step))
+        harness.send(test_forwarder.make_route(attempts=1))
+        (kept,) = harness.forwarder.exchanger.pool.idle.values()
+        assert len(kept) == 1, name
--- a/tests/test_target_call.py
+++ b/tests/test_target_call.py
@@ -19,6 +19,7 @@
 from chestnutshunt_daemon import target_error
 from tests import daemon_parts
 from tests import fake_target
+from tests import response_heads
 from tests.targets import test_endless_answers
 
 
@@ -105,6 +106,31 @@
                 pass
 
 
+# Guards against MIXED: the same as on the platform's way.
+@pytest.mark.parametrize('framed', [b'whole', b'wh', b'whole and more'])
+def test_a_malformed_head_is_no_response(framed):
+    wrong = {}
+    for name, lines in response_heads.MALFORMED.items():
+        step = response_heads.respond(lines, b'whole', framed)
+        try:
+            with open_response(step) as response:
+                wrong[name] = b''.join(response.body())
+        except target_error.TargetError as exc:
+            if exc.crashed or exc.stale:
+                wrong[name] = exc
+    assert not wrong
+
+
+@pytest.mark.parametrize('name', response_heads.SOUND)
+def test_an_odd_but_sound_head_is_a_response(name):
+    lines = response_heads.SOUND[name]
+    step = response_heads.respond(lines, b'whole', close=False)
+    with open_response(step) as response:
+        assert response.head.status == 200
+        assert b''.join(response.body()) == b'whole'
+        assert response.complete
+
+
 def make_execution(body):
     state = daemon_parts.make_node()
     request = make_request(state.clock, body)
