Reject responses whose heads hold lines that are no fields

Callers saw responses as complete whose body was not the target's: in part, with the framing of its chunks, or with what followed it; items were listed with a part of their events. Others got lines on whose names held a blank or a control byte, and values with control bytes.

Cause: http.client reads the lines of a head and gives them to the parser of e-mail messages, which stops at a line that is no field and leaves the rest out. If the length of the body stood there, the body ends with the connection. urllib3 logs this and goes on. A name with a control byte or a blank at its end is taken as it is, so that "Content-Length " is another field; a folded line becomes a part of the value before it.

Change: each line is read by the grammar of RFC 9110, section 5, and RFC 9112, section 5; one that doesn't match raises MalformedResponse, also in heads of interim responses. Folded lines are rejected, as section 5.2 lets a gateway do: what was folded into a value may have been the field that framed the body.

Why it works: no line is left that the parser behind could stop at or read in another way. Spaces around values, any token as a name, empty values and bytes beyond ASCII in values go on being served (tests).

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/response_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/response_head.py
@@ -1,4 +1,4 @@
-"""Heads of responses, with their status lines checked."""
+"""Heads of responses, read by the grammar of RFC 9110 and RFC 9112."""
 
 import http.client
 import re
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class ResponseHead:
-    """A head with a sound status line.
+    """A sound head.
 
     Attributes
     ----------
@@ -40,21 +40,21 @@
         Status code, from 100 to 599.
     reason : bytes
         Reason phrase; may be empty.
-    fields : list of bytes
-        Lines of the fields.
+    fields : list of (bytes, bytes)
+        Names and values without white space around them.
     """
 
     minor_version: int
     status: int
     reason: bytes
-    fields: list[bytes]
+    fields: list[tuple[bytes, bytes]]
 
     def encode(self) -> bytes:
         """Return the head in its simplest form."""
         parts = [
             b'HTTP/1.%d %d %s'
             % (self.minor_version, self.status, self.reason),
-            *self.fields,
+            *(b'%s: %s' % field for field in self.fields),
             b'\r\n',
         ]
         return b'\r\n'.join(parts)
@@ -66,7 +66,7 @@
     Raises
     ------
     MalformedResponse
-        A status line breaks the grammar, or its status is none.
+        A head breaks the grammar, or its status is none.
     RemoteDisconnected, ProtocolError
         The connection ended before or within a head.
     """
@@ -85,7 +85,7 @@
             raise malformed_response.MalformedResponse(
                 f'The head has more than {MAX_FIELD_COUNT} fields.'
             )
-        fields.append(line)
+        fields.append(lines.parse_field(line))
     return ResponseHead(minor_version, status, reason, fields)
 
 
--- a/tests/callers/test_malformed_responses.py
+++ b/tests/callers/test_malformed_responses.py
@@ -12,7 +12,12 @@
     *('HTTP/1.1 000 OK', 'HTTP/1.1 00 OK', 'HTTP/1.1 99 OK'),
     *('HTTP/1.1 600 OK', 'HTTP/1.1 999 OK', 'HTTP/1.1 101 Switching'),
 )
-HEADS = [(line, *response_heads.BASE[1:]) for line in STATUS_LINES]
+HEADS = (
+    *((line, *response_heads.BASE[1:]) for line in STATUS_LINES),
+    response_heads.after('X-Weight', 'no field'),
+    response_heads.after('X-Weight', 'X Name: 1'),
+    response_heads.after('X-Weight', 'X\0Name: 1'),
+)
 
 
 @pytest.mark.parametrize('kind', test_shutdown.FORWARDED)
--- a/tests/response_heads.py
+++ b/tests/response_heads.py
@@ -16,6 +16,21 @@
     'X-Last: 1',
 )
 
+SEPARATORS = '"(),/;<=>?@[\\]{}'
+CONTROLS = [chr(n) for n in range(32) if n not in (9, 10)] + ['\x7f']
+
+NO_FIELDS = (
+    *('no field', 'nofield', ': value', ':', '=?', '\0', '\xff\xfe', '{}'),
+    *(' folded', '\tfolded', ' X-Name: value', 'Content-Length 4', ' ', '\r'),
+    *('HTTP/1.1 200 OK', 'From x', '-----', 'X-Name\x85: 1', 'n\xe4me: 1'),
+)
+
+NAMES = (
+    *('X Name', 'X-Name ', 'X-Name\t', ' X-Name', '\tX-Name', 'X\xa0Name'),
+    *(f'X-{char}Name' for char in (*CONTROLS, *SEPARATORS) if char != '\r'),
+    'X-\rName',
+)
+
 STATUS_LINES = (
     *(f'HTTP/1.1 {code} OK' for code in ('000', '00', '0', '99', '099')),
     *(f'HTTP/1.1 {code} OK' for code in ('600', '999', '1000', '2000', '20')),
@@ -40,11 +55,41 @@
     return {ascii(line): build(line) for line in lines}
 
 
+MALFORMED_FIELDS = (
+    by_content(NO_FIELDS, lambda line: after('X-Weight', line))
+    | {
+        f'first {line!a}': after('HTTP', line)
+        for line in ('no field', ' folded', 'X Name: 1')
+    }
+    | {f'last {line!a}': (*BASE, line) for line in NO_FIELDS}
+    | {
+        f'value {char!a}': after('X-Weight', f'X-Name: a{char}b')
+        for char in CONTROLS
+    }
+)
+MALFORMED_NAMES = by_content(
+    NAMES, lambda name: after('X-Weight', f'{name}: 1')
+) | {
+    f'framing {name!a}': tuple(
+        f'{name}: {value}' if x == '{end}' else x for x in BASE
+    )
+    for name, value in (
+        ('Content-Length ', '{n}'),
+        ('Content Length', '{n}'),
+        ('Content\0Length', '{n}'),
+        ('\x01Content-Length', '{n}'),
+        ('Transfer-Encoding ', 'chunked'),
+        (' Transfer-Encoding', 'chunked'),
+        ('Transfer-Encoding\x0b', 'chunked'),
+    )
+}
 MALFORMED_STATUS_LINES = by_content(
     STATUS_LINES, lambda line: (line, *BASE[1:])
 )
 GROUPS = {
     'status lines': MALFORMED_STATUS_LINES,
+    'fields': MALFORMED_FIELDS,
+    'names': MALFORMED_NAMES,
 }
 MALFORMED = {
     name: lines for group in GROUPS.values() for name, lines in group.items()
--- a/tests/targets/test_malformed_heads.py
+++ b/tests/targets/test_malformed_heads.py
@@ -180,7 +180,7 @@
 
 
 def test_a_request_that_may_run_once_is_not_sent_again(target):
-    for name, step in some_cases('status lines'):
+    for name, step in some_cases('fields'):
         targets = [target(f't{n}', step) for n in range(2)]
         harness = test_forwarder.Harness(*targets)
         with pytest.raises(errors.TargetFailed) as caught:
@@ -219,6 +219,25 @@
     assert received == test_stream_forwarder.encoded_events(1, 2, 3, 4)
 
 
+def test_values_of_odd_but_sound_heads_are_passed_on(target):
+    wanted = {
+        'any token': ("!#$%&'*+-.^_`|~09azAZ", '1'),
+        'an empty value': ('X-Empty', ''),
+        'spaces around values': ('X-Name', 'value'),
+        'no space': ('X-Name', 'value'),
+        'colons': ('X-Name', ':a:b:'),
+        'bytes beyond ASCII': (
+            'X-Name',
+            ''.join(map(chr, range(0x80, 0x100))),
+        ),
+    }
+    for name, pair in wanted.items():
+        step = response_heads.respond(response_heads.SOUND[name], BODY)
+        harness = test_forwarder.Harness(target('t1', step))
+        response = harness.send(test_forwarder.make_route(attempts=1))
+        assert pair in response.headers, name
+
+
 def test_the_connection_is_used_again_behind_a_sound_head(target):
     for name, lines in response_heads.SOUND.items():
         step = response_heads.respond(lines, BODY, close=False)
