Reject responses whose heads do not tell the length of the body

Callers saw responses as complete whose body was not the target's: in part, with the framing of its chunks, or with what followed it; items were listed with a part of their events. Calls of the platform's client ended in an OverflowError that nothing caught.

Cause: http.client gives a Content-Length to int(), which takes "+4", "4_0" or "-4", and takes one that can't be parsed, and an empty one, for none: the body then lasts until the connection ends, and no trace of the field is left. A Transfer-Encoding that isn't chunked counts as none as well, and urllib3 looks for "chunked" anywhere in it. Only the first of several fields is read. A length of 30 digits is more than a read can ask for.

Change: the fields are read by RFC 9110, section 8.6, and RFC 9112, section 6: a length is decimal digits, one that is repeated the same; the only coding is chunked, without a length beside it, and not in HTTP/1.0. Anything else raises MalformedResponse. What is sound reaches the standard library in its simplest form, so that "4, 4" or " Chunked " frame a body there too; responses 204 and 304 have none.

Why it works: of each head it is known where its body ends, and the parsers behind see no other form.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/response_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/response_head.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from chestnutshunt_daemon.http1 import framing
 from chestnutshunt_daemon.http1 import lines
 from chestnutshunt_daemon.http1 import malformed_response
 
@@ -66,7 +67,7 @@
     Raises
     ------
     MalformedResponse
-        A head breaks the grammar, or its status is none.
+        A head breaks the grammar, or its length or status is none.
     RemoteDisconnected, ProtocolError
         The connection ended before or within a head.
     """
@@ -86,7 +87,12 @@
                 f'The head has more than {MAX_FIELD_COUNT} fields.'
             )
         fields.append(lines.parse_field(line))
-    return ResponseHead(minor_version, status, reason, fields)
+    return ResponseHead(
+        minor_version,
+        status,
+        reason,
+        framing.normalize_framing(status, minor_version, fields),
+    )
 
 
 def read_status_line(source: BinaryIO) -> tuple[int, int, bytes]:
--- a/tests/callers/test_malformed_responses.py
+++ b/tests/callers/test_malformed_responses.py
@@ -14,6 +14,8 @@
 )
 HEADS = (
     *((line, *response_heads.BASE[1:]) for line in STATUS_LINES),
+    response_heads.ending('Content-Length: {n}x'),
+    response_heads.ending('Transfer-Encoding: chunke'),
     response_heads.after('X-Weight', 'no field'),
     response_heads.after('X-Weight', 'X Name: 1'),
     response_heads.after('X-Weight', 'X\0Name: 1'),
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -76,7 +76,10 @@
     assert not wrong
 
 
-@pytest.mark.parametrize('lines', response_heads.SOUND.values())
+@pytest.mark.parametrize(
+    'lines',
+    [*response_heads.SOUND.values(), *response_heads.SOUND_LENGTHS.values()],
+)
 @pytest.mark.parametrize('close', [True, False])
 def test_a_reply_with_an_odd_but_sound_head_counts(server, lines, close):
     step = response_heads.respond(lines, b'{"a": 1}', close=close)
--- a/tests/response_heads.py
+++ b/tests/response_heads.py
@@ -16,6 +16,22 @@
     'X-Last: 1',
 )
 
+LENGTHS = (
+    *('', ' ', 'x', '{n}x', 'x{n}', '+{n}', '-{n}', '-1', '{n}.0', '{n}_0'),
+    *('0x{n}', '{n} {n}', '{n};', '{n},', ',{n}', '{n},,{n}', '{n}, 1{n}'),
+    *('"{n}"', '{n}e0', '\xb2', '\uff14', 'nan', '{n}\0', '\x0b{n}'),
+    *('9' * 30, '9' * 5000, '{n}\r\nContent-Length: 1{n}'),
+    '{n}\r\nContent-Length: x',
+)
+
+CODINGS = (
+    *('', ' ', 'chunke', 'xchunked', 'chunked;a=b', 'chunked x', '"chunked"'),
+    *('gzip', 'gzip, chunked', 'chunked, gzip', 'identity', 'chunked chunked'),
+    *('chunked, chunked', 'chunked\r\nTransfer-Encoding: chunked'),
+    *('chunked\0', '\x0bchunked', 'chunked\r\nContent-Length: 4'),
+    'chunked\r\nContent-Length: x',
+)
+
 SEPARATORS = '"(),/;<=>?@[\\]{}'
 CONTROLS = [chr(n) for n in range(32) if n not in (9, 10)] + ['\x7f']
 
@@ -51,10 +67,28 @@
     return (*BASE[:place], *lines, *BASE[place:])
 
 
+def ending(line):
+    """Return the base head with another line for the framing."""
+    return tuple(line if x == '{end}' else x for x in BASE)
+
+
 def by_content(lines, build):
     return {ascii(line): build(line) for line in lines}
 
 
+MALFORMED_LENGTHS = {
+    f'length {value[:20]!a}, {len(value)}': ending(f'Content-Length: {value}')
+    for value in LENGTHS
+}
+MALFORMED_CODINGS = {
+    f'coding {value!a}': ending(f'Transfer-Encoding: {value}')
+    for value in CODINGS
+} | {
+    'coding in HTTP/1.0': (
+        'HTTP/1.0 200 OK',
+        *ending('Transfer-Encoding: chunked')[1:],
+    )
+}
 MALFORMED_FIELDS = (
     by_content(NO_FIELDS, lambda line: after('X-Weight', line))
     | {
@@ -70,9 +104,7 @@
 MALFORMED_NAMES = by_content(
     NAMES, lambda name: after('X-Weight', f'{name}: 1')
 ) | {
-    f'framing {name!a}': tuple(
-        f'{name}: {value}' if x == '{end}' else x for x in BASE
-    )
+    f'framing {name!a}': ending(f'{name}: {value}')
     for name, value in (
         ('Content-Length ', '{n}'),
         ('Content Length', '{n}'),
@@ -90,6 +122,8 @@
     'status lines': MALFORMED_STATUS_LINES,
     'fields': MALFORMED_FIELDS,
     'names': MALFORMED_NAMES,
+    'lengths': MALFORMED_LENGTHS,
+    'codings': MALFORMED_CODINGS,
 }
 MALFORMED = {
     name: lines for group in GROUPS.values() for name, lines in group.items()
@@ -124,6 +158,26 @@
         *BASE,
     ),
 }
+SOUND_LENGTHS = {
+    f'length {line!a}': ending(line)
+    for line in (
+        'content-length: {n}',
+        'CONTENT-LENGTH:{n}',
+        'Content-Length: \t{n} \t',
+        'Content-Length: 000{n}',
+        'Content-Length: {n}, {n}',
+        'Content-Length: {n}\r\nContent-Length: {n}',
+    )
+}
+SOUND_CODINGS = {
+    f'coding {line!a}': ending(line)
+    for line in (
+        'transfer-encoding: chunked',
+        'TRANSFER-ENCODING:CHUNKED',
+        'Transfer-Encoding: \tChunked \t',
+        'Transfer-Encoding: , chunked ,',
+    )
+}
 
 
 def chunked(*chunks):
--- a/tests/targets/test_malformed_heads.py
+++ b/tests/targets/test_malformed_heads.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import itertools
 import random
 
 import pytest
@@ -190,8 +191,12 @@
 
 
 SOUND = {
-    name: response_heads.respond(lines, BODY, close=close)
-    for name, lines in response_heads.SOUND.items()
+    name: response_heads.respond(lines, BODY, framed, close)
+    for heads, framed in (
+        (response_heads.SOUND | response_heads.SOUND_LENGTHS, BODY),
+        (response_heads.SOUND_CODINGS, CHUNKS),
+    )
+    for name, lines in heads.items()
     for close in (False, True)
 }
 
@@ -239,9 +244,27 @@
 
 
 def test_the_connection_is_used_again_behind_a_sound_head(target):
-    for name, lines in response_heads.SOUND.items():
+    for name, lines in itertools.chain(
+        response_heads.SOUND.items(), response_heads.SOUND_LENGTHS.items()
+    ):
         step = response_heads.respond(lines, BODY, close=False)
         harness = test_forwarder.Harness(target('t1', step))
         harness.send(test_forwarder.make_route(attempts=1))
         (kept,) = harness.forwarder.exchanger.pool.idle.values()
         assert len(kept) == 1, name
+
+
+@pytest.mark.parametrize('status', [204, 304])
+@pytest.mark.parametrize(
+    'line',
+    ['X-None: 1', 'Content-Length: 33', 'Transfer-Encoding: chunked'],
+)
+def test_responses_without_a_body(target, status, line):
+    lines = [
+        f'HTTP/1.1 {status} X',
+        *response_heads.ending(line)[1:],
+    ]
+    step = response_heads.respond(lines, BODY, b'', close=False)
+    harness = test_forwarder.Harness(target('t1', step))
+    response = harness.send(test_forwarder.make_route(attempts=1))
+    assert (response.head.status, response.body) == (status, b'')
--- a/tests/test_target_call.py
+++ b/tests/test_target_call.py
@@ -121,10 +121,12 @@
     assert not wrong
 
 
-@pytest.mark.parametrize('name', response_heads.SOUND)
+@pytest.mark.parametrize(
+    'name', [*response_heads.SOUND, *response_heads.SOUND_LENGTHS]
+)
 def test_an_odd_but_sound_head_is_a_response(name):
-    lines = response_heads.SOUND[name]
-    step = response_heads.respond(lines, b'whole', close=False)
+    heads = response_heads.SOUND | response_heads.SOUND_LENGTHS
+    step = response_heads.respond(heads[name], b'whole', close=False)
     with open_response(step) as response:
         assert response.head.status == 200
         assert b''.join(response.body()) == b'whole'
