Reject chunked bodies whose framing is malformed

Found on the way: the lengths within a body, behind a sound head. Callers saw bodies in part as complete, and items were listed with the first events of their text ("d1 d2" of four) after a chunk whose size had become 0 or 11 for 10.

Cause: urllib3 and http.client give the size of a chunk to int(), which takes "+10", "-1", "0x10" or "1_0"; they read two bytes behind a chunk and don't look at them; and they read a trailer up to an empty line, whatever its lines are.

Change: the file behind a chunked head checks sizes, ends and trailers while they are read; what is wrong raises MalformedResponse, so that an attempt fails without a crash. Lines must end in CRLF here: an event with bare line feeds has the form of a trailer. Extensions, leading zeros, spaces behind a size and sound trailers are served.

Why it works: chunks follow one another only where their sizes say, to the last one and the end of the trailer.

What remains: a size that is wrong and a number still reaches streams up to the end of its chunk, where it is noticed; a body ends early without notice if its size became 0 and the rest has the form of a trailer with CRLF.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/checked_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/checked_response.py
@@ -3,6 +3,7 @@
 import http.client
 import io
 
+from chestnutshunt_daemon.http1 import chunked_source
 from chestnutshunt_daemon.http1 import response_head
 
 __all__ = ['CheckedResponse']
@@ -33,3 +34,5 @@
             super().begin()
         finally:
             self.fp = source
+        if self.chunked:
+            self.fp = chunked_source.ChunkedSource(source)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/lines.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/lines.py
@@ -1,4 +1,4 @@
-"""Lines of heads."""
+"""Lines of heads, chunked bodies and trailers."""
 
 import re
 from typing import BinaryIO
@@ -19,13 +19,20 @@
 FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):(" + TEXT + rb')')
 
 
-def read_line(source: BinaryIO) -> bytes:
-    """Return the next line without its end, CRLF or LF.
+def read_line(source: BinaryIO, is_lf_enough: bool = False) -> bytes:
+    """Return the next line without its end.
+
+    Parameters
+    ----------
+    source : BinaryIO
+        File to read from.
+    is_lf_enough : bool, optional
+        Whether a line may end in LF without CR.
 
     Raises
     ------
     MalformedResponse
-        The line is too long.
+        The line is too long or does not end in CRLF.
     ProtocolError
         The connection ended within the line.
     """
@@ -38,7 +45,13 @@
         raise urllib3.exceptions.ProtocolError(
             'The connection ended within a line.'
         )
-    return line.removesuffix(b'\n').removesuffix(b'\r')
+    if line.endswith(b'\r\n'):
+        return line[:-2]
+    if not is_lf_enough:
+        raise malformed_response.MalformedResponse(
+            'A line does not end in CRLF.'
+        )
+    return line[:-1]
 
 
 def parse_field(line: bytes) -> tuple[bytes, bytes]:
@@ -54,7 +67,7 @@
     match = FIELD.fullmatch(line)
     if match is None:
         raise malformed_response.MalformedResponse(
-            'A line of the head is no field.'
+            'A line of the head or trailer is no field.'
         )
     name, value = match.groups()
     return name, value.strip(b' \t')
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/response_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/response_head.py
@@ -81,7 +81,7 @@
     """Read the next head, also that of an interim response."""
     minor_version, status, reason = read_status_line(source)
     fields = []
-    while line := lines.read_line(source):
+    while line := lines.read_line(source, is_lf_enough=True):
         if len(fields) >= MAX_FIELD_COUNT:
             raise malformed_response.MalformedResponse(
                 f'The head has more than {MAX_FIELD_COUNT} fields.'
@@ -101,7 +101,7 @@
         raise http.client.RemoteDisconnected(
             'The connection ended without a response.'
         )
-    line = lines.read_line(source)
+    line = lines.read_line(source, is_lf_enough=True)
     match = STATUS_LINE.fullmatch(line)
     if match is None:
         raise malformed_response.MalformedResponse(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/target_call.py
@@ -100,6 +100,9 @@
     attempt_progress = progress.Progress.MAY_HAVE_RUN
     try:
         yield
+    except malformed_response.MalformedResponse as exc:
+        message = f'{target_name} sent a malformed body: {exc}'
+        raise target_error.TargetError(message, attempt_progress) from exc
     except CLOSED_ERRORS as exc:
         message = (
             f'{target_name} closed the connection early: {type(exc).__name__}.'
