Give up replies that claim to be longer than any

Found on the way. A reply of the platform, or of a target to an order, whose length has 11 to 17 digits ended the call with a MemoryError that nothing caught: the standard library reserves memory for a whole body of known length at once. The bound of the socket counts bytes that have come, so that it acts too late.

Change: the length is compared with MAX_REPLY_BYTES when the head has been read.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_connection.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_connection.py
@@ -24,12 +24,29 @@
         self.sock = bounded_socket.bound(self.sock)
 
 
+class ReplyResponse(checked_response.CheckedResponse):
+    """Reply that is read whole."""
+
+    def begin(self) -> None:
+        """Read the head; raises `HTTPError` if the body is too long.
+
+        Memory for all of a body of known length is reserved at once.
+        """
+        super().begin()
+        if self.length and self.length > MAX_REPLY_BYTES:
+            raise urllib3.exceptions.HTTPError(
+                f'The reply has more than {MAX_REPLY_BYTES} bytes.'
+            )
+
+
 class ReplyConnection(BoundedConnection):
     """Connection of a client that reads every reply whole.
 
     A reply must arrive within the timeout of its call and `MAX_REPLY_BYTES`.
     """
 
+    response_class = ReplyResponse
+
     def getresponse(self) -> urllib3.HTTPResponse:
         """Read the head of a reply."""
         self.sock.limit(self.timeout, MAX_REPLY_BYTES)
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -84,3 +84,19 @@
 def test_a_reply_with_an_odd_but_sound_head_counts(server, lines, close):
     step = response_heads.respond(lines, b'{"a": 1}', close=close)
     assert call(server(step)) == result.Success((200, {'a': 1}))
+
+
+# Guards against Fault: memory for the whole length was reserved.
+@pytest.mark.parametrize(
+    'line',
+    [
+        'Content-Length: 99999999999999999',
+        'Content-Length: 99999999999',
+        'Transfer-Encoding: chunked',
+    ],
+)
+def test_a_reply_longer_than_any_is_given_up(server, line):
+    lines = response_heads.ending(line)
+    framed = b'fffffffffffffff\r\n{}'
+    outcome = call(server(response_heads.respond(lines, b'{}', framed)))
+    assert isinstance(outcome, result.Failure)
