Read the replies of targets to chestnutshuntd's own calls with the same checks

Wherever answers are read: chestnutshuntd orders weights from engines and asks leaving targets whether they are idle over plain urllib3 connections. An order counted as done, and a target as idle (and was stopped), on a reply with a malformed or cut-off head; a length of 30 digits ended the duty with an OverflowError.

Change: both use the client of replies that the platform's client uses, which is now made in one place (`reply_manager`).

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_connection.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/bounded_connection.py
@@ -5,7 +5,7 @@
 from chestnutshunt_daemon import bounded_socket
 from chestnutshunt_daemon.http1 import checked_response
 
-__all__ = ['BoundedConnection', 'ReplyConnection', 'ReplyPool']
+__all__ = ['BoundedConnection', 'reply_manager']
 
 # Largest reply of a call: a page of a list is about 1 MB, an object at most
 # that.
@@ -57,3 +57,18 @@
     """Pool of such connections."""
 
     ConnectionCls = ReplyConnection
+
+
+def reply_manager(connections: int) -> urllib3.PoolManager:
+    """Return a client that reads every reply whole and never retries.
+
+    Parameters
+    ----------
+    connections : int
+        Connections kept open to one address.
+    """
+    manager = urllib3.PoolManager(
+        num_pools=64, maxsize=connections, retries=False
+    )
+    manager.pool_classes_by_scheme = {'http': ReplyPool}
+    return manager
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet_controller.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet_controller.py
@@ -11,6 +11,7 @@
 from chestnutshunt.lease import lease
 from chestnutshunt.routing import target
 from chestnutshunt import steps
+from chestnutshunt_daemon import bounded_connection
 from chestnutshunt_daemon import node
 from chestnutshunt_daemon import periodic_duty
 
@@ -59,6 +60,7 @@
         self.leaving_targets: dict[str, LeavingTarget] = {}
         self.surplus_since: dict[str, float] = {}
         self.started_at = state.clock.monotonic()
+        self.pool = bounded_connection.reply_manager(1)
 
     def run_once(self) -> None:
         """Plan every service of the data centre and stop drained targets."""
@@ -162,11 +164,10 @@
     def reports_idle(self, leaving: target.Target) -> bool:
         """Return whether a target reports no request in flight."""
         try:
-            response = urllib3.request(
+            response = self.pool.request(
                 'GET',
                 f'http://{leaving.address}/load',
                 timeout=LOAD_TIMEOUT_S,
-                retries=False,
             )
             return response.json().get('in_flight') == 0
         except (urllib3.exceptions.HTTPError, ValueError):
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/weight_loader.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/weight_loader.py
@@ -11,6 +11,7 @@
 from chestnutshunt import errors
 from chestnutshunt.lease import lease
 from chestnutshunt.routing import target
+from chestnutshunt_daemon import bounded_connection
 from chestnutshunt_daemon import node
 
 __all__ = ['WeightLoader']
@@ -54,9 +55,7 @@
     wanted_version: int = 0
     wakeup: threading.Event = attrs.field(factory=threading.Event)
     pool: urllib3.PoolManager = attrs.field(
-        factory=lambda: urllib3.PoolManager(
-            retries=False, maxsize=MAX_PARALLEL_COUNT
-        )
+        factory=lambda: bounded_connection.reply_manager(MAX_PARALLEL_COUNT)
     )
 
     def request_version(self, version: int) -> None:
