Rename the reader of heads

targets/response_head.py holds the decoded head of a response; the head on the wire gets another name, RawHead in http1/raw_head.py. Reads of chunks name their size. No change of behaviour.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/checked_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/checked_response.py
@@ -4,7 +4,7 @@
 import io
 
 from chestnutshunt_daemon.http1 import chunked_source
-from chestnutshunt_daemon.http1 import response_head
+from chestnutshunt_daemon.http1 import raw_head
 
 __all__ = ['CheckedResponse']
 
@@ -28,7 +28,7 @@
             The connection ended before or within the head.
         """
         source = self.fp
-        head = response_head.read_head(source)
+        head = raw_head.read_head(source)
         self.fp = io.BytesIO(head.encode())
         try:
             super().begin()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/chunked_source.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/chunked_source.py
@@ -61,8 +61,10 @@
             lines.parse_field(line)
         return line + LINE_END
 
-    def read(self, size: int | None = -1) -> bytes:
-        """Return bytes of a chunk, or its end.
+    def read(self, size: int) -> bytes:
+        """Return so many bytes of a chunk, or its end.
+
+        Fewer are returned at the end of the connection.
 
         Raises
         ------
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/response_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/raw_head.py
@@ -10,7 +10,7 @@
 from chestnutshunt_daemon.http1 import lines
 from chestnutshunt_daemon.http1 import malformed_response
 
-__all__ = ['ResponseHead', 'read_head']
+__all__ = ['RawHead', 'read_head']
 
 # Fields of a head; that of the standard library.
 MAX_FIELD_COUNT = 99
@@ -30,8 +30,8 @@
 
 
 @attrs.frozen
-class ResponseHead:
-    """A sound head.
+class RawHead:
+    """A sound head, whose fields are not decoded.
 
     Attributes
     ----------
@@ -61,7 +61,7 @@
         return b'\r\n'.join(parts)
 
 
-def read_head(source: BinaryIO) -> ResponseHead:
+def read_head(source: BinaryIO) -> RawHead:
     """Read the head of a final response, past those of interim ones.
 
     Raises
@@ -77,7 +77,7 @@
             return head
 
 
-def read_one_head(source: BinaryIO) -> ResponseHead:
+def read_one_head(source: BinaryIO) -> RawHead:
     """Read the next head, also that of an interim response."""
     minor_version, status, reason = read_status_line(source)
     fields = []
@@ -87,7 +87,7 @@
                 f'The head has more than {MAX_FIELD_COUNT} fields.'
             )
         fields.append(lines.parse_field(line))
-    return ResponseHead(
+    return RawHead(
         minor_version,
         status,
         reason,
--- a/tests/http1/test_response_head.py
+++ b/tests/http1/test_raw_head.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from chestnutshunt_daemon.http1 import malformed_response
-from chestnutshunt_daemon.http1 import response_head
+from chestnutshunt_daemon.http1 import raw_head
 
 # The grammar once more, of a whole head. Lines may end in LF alone.
 LINE_END = rb'\r?\n'
@@ -61,7 +61,7 @@
 def read_fields(data):
     """Return what is read of a head, ``None`` if it is rejected."""
     try:
-        head = response_head.read_head(io.BufferedReader(io.BytesIO(data)))
+        head = raw_head.read_head(io.BufferedReader(io.BytesIO(data)))
     except (
         malformed_response.MalformedResponse,
         urllib3.exceptions.ProtocolError,
@@ -97,7 +97,7 @@
 
 
 def read(data):
-    return response_head.read_head(io.BufferedReader(io.BytesIO(data)))
+    return raw_head.read_head(io.BufferedReader(io.BytesIO(data)))
 
 
 @pytest.mark.parametrize('code', [100, 102, 103, 150, 199])
@@ -116,7 +116,7 @@
 def test_heads_are_bounded():
     line = b'A: b\r\n'
     start = b'HTTP/1.1 200 OK\r\n'
-    most = response_head.MAX_FIELD_COUNT
+    most = raw_head.MAX_FIELD_COUNT
     assert len(read(start + most * line + b'\r\n').fields) == most
     for data in (start + (most + 1) * line + b'\r\n', start + b'A:' * 99_999):
         with pytest.raises(malformed_response.MalformedResponse):
