Judge status lines in linear time

A fault of this change's own, found when it was read again: a status line with a long run of spaces before a control byte took 14 s of the processor (60,000 spaces), as the pattern tried each division of the run. A target in trouble could have stopped a daemon with one head.

Change: one space separates the reason; the others are a part of it and are stripped.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/raw_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/raw_head.py
@@ -18,7 +18,7 @@
 # Recipients may take LF for the end of a line (RFC 9112, section 2.2), and
 # any spaces and tabs for what separates the parts of this one (section 4).
 STATUS_LINE = re.compile(
-    rb'[ \t]*HTTP/1\.([0-9])[ \t]+([0-9]{3})(?:[ \t]+(' + lines.TEXT + rb'))?'
+    rb'[ \t]*HTTP/1\.([0-9])[ \t]+([0-9]{3})(?:[ \t](' + lines.TEXT + rb'))?'
 )
 
 # Classes of status codes (RFC 9110, section 15).
@@ -117,4 +117,5 @@
         raise malformed_response.MalformedResponse(
             'The server switches protocols unasked.'
         )
-    return int(match.group(1)), status, match.group(3) or b''
+    reason = (match.group(3) or b'').strip(b' \t')
+    return int(match.group(1)), status, reason
--- a/tests/http1/test_raw_head.py
+++ b/tests/http1/test_raw_head.py
@@ -3,6 +3,7 @@
 import http.client
 import io
 import re
+import time
 
 import pytest
 import urllib3
@@ -129,3 +130,25 @@
     for size in range(1, len(SAMPLES[0])):
         with pytest.raises(urllib3.exceptions.ProtocolError):
             read(SAMPLES[0][:size])
+
+
+# Guards against Fault: a pattern that tries each division of a long run took
+# seconds of the processor for one head.
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'HTTP/1.1 200' + b' ' * 60_000 + b'\0',
+        b'HTTP/1.1 200 ' + b'\t ' * 30_000 + b'\0',
+        b' ' * 60_000 + b'HTTP',
+        b'HTTP/1.1' + b' ' * 60_000 + b'2',
+        b'HTTP/1.1 200 OK\r\n' + b'a' * 60_000,
+        b'HTTP/1.1 200 OK\r\na:' + b' ' * 60_000 + b'\0',
+        b'HTTP/1.1 200 OK\r\nContent-Length: ' + b'0' * 60_000 + b'x',
+        b'HTTP/1.1 200 OK\r\nContent-Length: ' + b'1,' * 30_000,
+    ],
+)
+def test_long_lines_are_judged_at_once(line):
+    started_at = time.process_time()
+    with pytest.raises(malformed_response.MalformedResponse):
+        read(line + b'\r\n\r\n')
+    assert time.process_time() - started_at < 1.0
