--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/raw_head.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http1/raw_head.py
@@ -31,7 +31,7 @@
 
 @attrs.frozen
 class RawHead:
-    """A sound head, whose fields are not decoded.
+    """A well-formed head, whose fields are not decoded.
 
     Attributes
     ----------
--- a/tests/callers/test_caller_server.py
+++ b/tests/callers/test_caller_server.py
@@ -131,9 +131,9 @@
 
 
 # Callers got a 500 in place of a response that had been run: the status was
-# sound, but none that the standard library knows.
+# valid, but none that the standard library knows.
 @pytest.mark.parametrize('status', [200, 299, 420, 499, 520, 599])
-def test_any_sound_response_is_written(status):
+def test_any_valid_response_is_written(status):
     value = ''.join(map(chr, range(0x80, 0x100)))
 
     def handle(request):
--- a/tests/platform/test_json_client.py
+++ b/tests/platform/test_json_client.py
@@ -78,10 +78,10 @@
 
 @pytest.mark.parametrize(
     'lines',
-    [*response_heads.SOUND.values(), *response_heads.SOUND_LENGTHS.values()],
+    [*response_heads.VALID.values(), *response_heads.VALID_LENGTHS.values()],
 )
 @pytest.mark.parametrize('close', [True, False])
-def test_a_reply_with_an_odd_but_sound_head_counts(server, lines, close):
+def test_a_reply_with_an_unusual_but_valid_head_counts(server, lines, close):
     step = response_heads.respond(lines, b'{"a": 1}', close=close)
     assert call(server(step)) == result.Success((200, {'a': 1}))
 
--- a/tests/response_heads.py
+++ b/tests/response_heads.py
@@ -129,7 +129,7 @@
     name: lines for group in GROUPS.values() for name, lines in group.items()
 }
 
-SOUND = {
+VALID = {
     'as usual': BASE,
     'no reason': ('HTTP/1.1 200 ', *BASE[1:]),
     'no space for a reason': ('HTTP/1.1 200', *BASE[1:]),
@@ -158,7 +158,7 @@
         *BASE,
     ),
 }
-SOUND_LENGTHS = {
+VALID_LENGTHS = {
     f'length {line!a}': ending(line)
     for line in (
         'content-length: {n}',
@@ -169,7 +169,7 @@
         'Content-Length: {n}\r\nContent-Length: {n}',
     )
 }
-SOUND_CODINGS = {
+VALID_CODINGS = {
     f'coding {line!a}': ending(line)
     for line in (
         'transfer-encoding: chunked',
--- a/tests/targets/test_malformed_chunks.py
+++ b/tests/targets/test_malformed_chunks.py
@@ -1,4 +1,4 @@
-"""Targets in trouble whose chunks are malformed behind a sound head.
+"""Targets in trouble whose chunks are malformed behind a valid head.
 
 The size of a chunk is the length of a part of the body: what holds for the
 lengths of heads holds for it as well.
@@ -96,7 +96,7 @@
     assert not wrong
 
 
-def test_odd_but_sound_chunks_are_read(target):
+def test_unusual_but_valid_chunks_are_read(target):
     body = (
         b'10 \r\n' + EVENT + b'\r\n0008;a=b;c="d"\r\nid: 4\nda\r\n'
         b'8\t;x\r\nta: d4\n\n\r\n000\r\nX-Sum: \xe4\r\nX-Empty:\r\n\r\n'
--- a/tests/targets/test_malformed_heads.py
+++ b/tests/targets/test_malformed_heads.py
@@ -190,20 +190,20 @@
         assert sum(len(fake.heads) for fake in targets) == 1, name
 
 
-SOUND = {
+VALID = {
     name: response_heads.respond(lines, BODY, framed, close)
     for heads, framed in (
-        (response_heads.SOUND | response_heads.SOUND_LENGTHS, BODY),
-        (response_heads.SOUND_CODINGS, CHUNKS),
+        (response_heads.VALID | response_heads.VALID_LENGTHS, BODY),
+        (response_heads.VALID_CODINGS, CHUNKS),
     )
     for name, lines in heads.items()
     for close in (False, True)
 }
 
 
-@pytest.mark.parametrize('name', SOUND)
-def test_odd_but_sound_heads_are_served(target, name):
-    first = target('t1', SOUND[name])
+@pytest.mark.parametrize('name', VALID)
+def test_unusual_but_valid_heads_are_served(target, name):
+    first = target('t1', VALID[name])
     harness = test_forwarder.Harness(first)
     response = harness.send(test_forwarder.make_route(attempts=1))
     assert (response.head.status, response.body) == (200, BODY)
@@ -213,10 +213,10 @@
     assert 'x-early' not in names
 
 
-@pytest.mark.parametrize('name', SOUND)
-def test_streams_go_on_behind_odd_but_sound_heads(target, name):
+@pytest.mark.parametrize('name', VALID)
+def test_streams_go_on_behind_unusual_but_valid_heads(target, name):
     first_or_rest = test_stream_forwarder.first_or_rest(
-        fake_target.events(1, 2, complete=False), SOUND[name]
+        fake_target.events(1, 2, complete=False), VALID[name]
     )
     targets = [target(f't{n}', first_or_rest) for n in range(2)]
     response = test_stream_forwarder.open_stream(True, *targets)
@@ -224,7 +224,7 @@
     assert received == test_stream_forwarder.encoded_events(1, 2, 3, 4)
 
 
-def test_values_of_odd_but_sound_heads_are_passed_on(target):
+def test_values_of_unusual_but_valid_heads_are_passed_on(target):
     wanted = {
         'any token': ("!#$%&'*+-.^_`|~09azAZ", '1'),
         'an empty value': ('X-Empty', ''),
@@ -237,15 +237,15 @@
         ),
     }
     for name, pair in wanted.items():
-        step = response_heads.respond(response_heads.SOUND[name], BODY)
+        step = response_heads.respond(response_heads.VALID[name], BODY)
         harness = test_forwarder.Harness(target('t1', step))
         response = harness.send(test_forwarder.make_route(attempts=1))
         assert pair in response.headers, name
 
 
-def test_the_connection_is_used_again_behind_a_sound_head(target):
+def test_the_connection_is_used_again_behind_a_valid_head(target):
     for name, lines in itertools.chain(
-        response_heads.SOUND.items(), response_heads.SOUND_LENGTHS.items()
+        response_heads.VALID.items(), response_heads.VALID_LENGTHS.items()
     ):
         step = response_heads.respond(lines, BODY, close=False)
         harness = test_forwarder.Harness(target('t1', step))
--- a/tests/test_target_call.py
+++ b/tests/test_target_call.py
@@ -122,10 +122,10 @@
 
 
 @pytest.mark.parametrize(
-    'name', [*response_heads.SOUND, *response_heads.SOUND_LENGTHS]
+    'name', [*response_heads.VALID, *response_heads.VALID_LENGTHS]
 )
-def test_an_odd_but_sound_head_is_a_response(name):
-    heads = response_heads.SOUND | response_heads.SOUND_LENGTHS
+def test_an_unusual_but_valid_head_is_a_response(name):
+    heads = response_heads.VALID | response_heads.VALID_LENGTHS
     step = response_heads.respond(heads[name], b'whole', close=False)
     with open_response(step) as response:
         assert response.head.status == 200
