--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -54,10 +54,11 @@
                 lines = head.decode().split('\r\n')
                 fields = dict(x.lower().split(': ', 1) for x in lines[1:])
                 length = int(fields.get('content-length', 0))
+                data = bytearray(data)
                 while len(data) < length:
                     data += connection.recv(65536)
-                self.bodies.append(data[:length])
-                data = data[length:]
+                self.bodies.append(bytes(data[:length]))
+                data = bytes(data[length:])
                 self.times.append(time.monotonic())
                 self.heads.append((lines[0], fields))
                 step = self.script[min(len(self.heads), len(self.script)) - 1]
--- a/tests/faults/test_fleet.py
+++ b/tests/faults/test_fleet.py
@@ -55,7 +55,7 @@
 
 
 class FrontDaemon(cluster.Process):
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, **settings):
         self.name = name
         self.caller, self.ready_address, self.peer = (
             cluster.free_address() for _ in range(3)
@@ -71,6 +71,7 @@
             'duty_address': fleet.store.address,
             'lease_s': 1.0,
             'usage_window_s': 1.0,
+            **settings,
         }
         self.values = values
         self.path = fleet.folder / f'{name}.toml'
@@ -126,14 +127,14 @@
     def put(self, kind, name, value):
         put_if_changed.put_if_changed(self.client, kind, name, value).unwrap()
 
-    def target(self, name, service, *script, version=1, software=''):
+    def target(self, name, service, *script, version=1, software='', slots=4):
         target = fake_target.FakeTarget(name, *script)
         self.stack.callback(target.close)
         target.entry = {
             'service': service,
             'address': target.address,
             'zone': 'a',
-            'slots': 4,
+            'slots': slots,
             'state': 'ready',
             'models': [{'name': 'm', 'version': version}],
             'version': software,
@@ -141,9 +142,9 @@
         self.put('servers', name, target.entry)
         return target
 
-    def start(self, count):
+    def start(self, count, **settings):
         for number in range(count):
-            daemon = FrontDaemon(self, f'd{number}')
+            daemon = FrontDaemon(self, f'd{number}', **settings)
             self.stack.callback(daemon.close)
             self.daemons.append(daemon)
         for daemon in self.daemons:
