Decode jobs item by item

What callers saw: a job of 4 MB or more was refused with 503 at a VM of 150 MB, while the operator allows 33,554,432 bytes.

Cause: the text of a job, its JSON value, the items, their stored form and all parts for the store were held at the same time, nine times the text.

A job too large for one message is no longer encoded to find that out.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_codec.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_codec.py
@@ -1,6 +1,8 @@
 """Interface of the codec for callers' requests."""
 
 import abc
+from collections.abc import Callable
+from typing import BinaryIO
 
 from chestnutshunt.jobs import job
 from chestnutshunt.jobs import job_page
@@ -42,9 +44,32 @@
 
     @abc.abstractmethod
     def decode_job(
-        self, body: bytes, job_id: str, host: str, path: str, now: float
+        self,
+        body: BinaryIO,
+        job_id: str,
+        host: str,
+        path: str,
+        now: float,
+        cover: Callable[[int], None] = lambda size: None,
     ) -> job.Job:
-        """Decode the body of a submitted job; raises `BadRequest`."""
+        """Decode the body of a submitted job while it is read.
+
+        Parameters
+        ----------
+        body : file object
+            Where it is read from, once.
+        job_id, host, path : str
+            Id of the job, and the route of its submission.
+        now : float
+            Unix time of the submission in seconds.
+        cover : callable, optional
+            Called with the memory in bytes of the items so far.
+
+        Raises
+        ------
+        BadRequest
+            The body is not a valid job.
+        """
 
     @abc.abstractmethod
     def encode_page(self, page: job_page.JobPage) -> bytes:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import contextlib
 import functools
+import io
 import logging
 import math
 
@@ -35,8 +36,8 @@
 RESPONSE_MARGIN_S = 0.05
 
 # Memory that a byte of a body takes while the request is served: for a job its
-# text, the decoded items and their stored form, else the body and its copy.
-JOB_WEIGHT = 9.0
+# text and the decoded items, else the body and its copy.
+JOB_WEIGHT = 4.0
 REQUEST_WEIGHT = 2.0
 
 # Longest time for a call about a job, beside the wait for results.
@@ -315,7 +316,7 @@
         """Accept a batch job; raises `Draining` during a shutdown."""
         job_id = self.codec.request_id(request.headers)
         submitted = self.codec.decode_job(
-            request.body,
+            io.BytesIO(request.body),
             job_id,
             request.host,
             request.path,
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_api.py
@@ -128,6 +128,8 @@
 
     def hand_over(self, peer: peer_info.PeerInfo, job: job.Job) -> bool:
         """Hand a job over to a peer; return False if it does not take it."""
+        if job.held_bytes > MAX_HAND_OVER_BYTES:
+            return False
         items = json.dumps(job_codec.encode_items(job.items)).encode()
         if len(items) > MAX_HAND_OVER_BYTES:
             return False
--- a/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
@@ -1,5 +1,6 @@
 """Durable acceptance of a job by one conditional create."""
 
+from collections.abc import Iterator
 import json
 
 from returns import result
@@ -33,8 +34,9 @@
         `PlatformUnavailable` means that this call has not accepted the job
         and will not do so later; `PlatformUncertain` that it may have.
     """
-    parts = split_items(submitted.items)
-    for number, part in enumerate(parts):
+    count = 0
+    for number, part in enumerate(split_items(submitted.items)):
+        count = number + 1
         value = {'items': part}
         kind = job_codec.items_kind(submitted.id)
         match create_with_retry(store, kind, f'{number:04d}', value):
@@ -45,7 +47,7 @@
                 return result.Failure(errors.PlatformUnavailable(exc.message))
             case failure:
                 return failure
-    value = job_codec.encode_job(submitted, len(parts), ended=False)
+    value = job_codec.encode_job(submitted, count, ended=False)
     match store.put(
         job_codec.JOB_KIND, submitted.id, value, object_store.ABSENT
     ):
@@ -128,18 +130,20 @@
     return result.Success(job_codec.decode_job(value, items))
 
 
-def split_items(items: tuple[item.Item, ...]) -> list[list[dict]]:
-    """Return the items' JSON forms in parts that fit into one object.
+def split_items(items: tuple[item.Item, ...]) -> Iterator[list[dict]]:
+    """Yield the items' JSON forms in parts that fit into one object.
 
     An item larger than `MAX_PART_BYTES` gets a part of its own.
     """
-    parts: list[list[dict]] = [[]]
+    part: list[dict] = []
     size = 0
-    for value in job_codec.encode_items(items):
+    for entry in items:
+        value = job_codec.encode_item(entry)
         length = len(json.dumps(value))
-        if parts[-1] and size + length > MAX_PART_BYTES:
-            parts.append([])
+        if part and size + length > MAX_PART_BYTES:
+            yield part
+            part = []
             size = 0
-        parts[-1].append(value)
+        part.append(value)
         size += length
-    return parts
+    yield part
--- a/packages/chestnutshunt/chestnutshunt/jobs/item.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/item.py
@@ -6,6 +6,9 @@
 
 __all__ = ['Item']
 
+# Memory of an item beside its body and the texts of its headers.
+ITEM_BYTES = 384
+
 
 @attrs.frozen
 class Item:
@@ -37,6 +40,15 @@
     length_hint: int = 0
     scoring: score_call.ScoreCall | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """About the memory that the item takes, in bytes."""
+        size = ITEM_BYTES + len(self.body)
+        size += sum(len(text) for text in self.headers.values())
+        if self.scoring is not None:
+            size += ITEM_BYTES + len(self.scoring.body)
+        return size
+
     @property
     def prompt_group(self) -> str:
         """Key of the items that share this item's prompt; its id if alone."""
--- a/packages/chestnutshunt/chestnutshunt/jobs/job.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/job.py
@@ -44,3 +44,8 @@
     model: str = ''
     minimum_version: int = 0
     wanted_groups: int = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """About the memory that its items take, in bytes."""
+        return sum(entry.held_bytes for entry in self.items)
--- a/packages/chestnutshunt/chestnutshunt/jobs/job_codec.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/job_codec.py
@@ -13,6 +13,7 @@
     'JOB_KIND',
     'decode_items',
     'decode_job',
+    'encode_item',
     'encode_items',
     'encode_job',
     'items_kind',
--- /dev/null
+++ b/tests/jobs/test_item_reader.py
@@ -0,0 +1,45 @@
+"""Lists of items that are decoded while they are read."""
+
+import io
+import json
+
+import pytest
+
+from chestnutshunt.jobs import item
+from chestnutshunt.jobs import item_reader
+
+
+def decode(value):
+    return item.Item(value['id'], '/p', {}, value['body'].encode())
+
+
+def read(text, cover=lambda size: None):
+    return item_reader.read_items(io.BytesIO(text), 'items', decode, cover)
+
+
+def test_fields_come_before_and_behind_the_items():
+    items = [{'id': str(n), 'body': 'x', 'more': [{}, [1]]} for n in range(3)]
+    value = {'step': 1, 'items': items, 'model': 'm', 'other': {'step': 2}}
+    fields, found = read(json.dumps(value).encode())
+    assert (fields['step'], fields['model']) == (1, 'm')
+    assert [entry.id for entry in found] == ['0', '1', '2']
+
+
+@pytest.mark.parametrize('text', [b'', b'{', b'{"items":[]} x', b'\xff'])
+def test_what_is_not_json_is_an_error(text):
+    with pytest.raises(ValueError):
+        read(text)
+
+
+@pytest.mark.parametrize('text', [b'{}', b'[]', b'null', b'{"items":1}'])
+def test_items_that_are_missing_are_an_error(text):
+    with pytest.raises(KeyError):
+        read(text)
+
+
+def test_memory_is_held_for_the_items_so_far():
+    held = []
+    body = json.dumps({'items': [{'id': '1', 'body': 'x' * 100}] * 3}).encode()
+    read(body, held.append)
+    assert held == [held[0], 2 * held[0], 3 * held[0]]
+    assert held[0] >= 100
--- a/tests/platform/test_caller_codec.py
+++ b/tests/platform/test_caller_codec.py
@@ -1,5 +1,6 @@
 """Malformed submissions of jobs are answered with bad request."""
 
+import io
 import json
 
 import pytest
@@ -34,11 +35,12 @@
 def test_malformed_job_is_a_bad_request(value):
     codec = caller_codec.PlatformCallerCodec()
     with pytest.raises(errors.BadRequest):
-        codec.decode_job(json.dumps(value).encode(), 'j', 'h', '/p/', 0.0)
+        body = io.BytesIO(json.dumps(value).encode())
+        codec.decode_job(body, 'j', 'h', '/p/', 0.0)
 
 
 def test_malformed_json_is_a_bad_request():
     with pytest.raises(errors.BadRequest):
         caller_codec.PlatformCallerCodec().decode_job(
-            b'\xff{', 'j', 'h', '/p/', 0.0
+            io.BytesIO(b'\xff{'), 'j', 'h', '/p/', 0.0
         )
