Keep a digest of a request's body for its duplicates, not the body

What callers saw: nothing yet; read in the code while looking for what clients hold. Cause: chestnutshuntd kept the body of each request with an identity for 30 s after its end, up to 20,000 of them and 64 MiB each. The bound on kept bytes counts answers only. Change: a digest of 16 bytes is compared instead. A duplicate with another body is refused as before (tests/faults/test_once.py).

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/front_app.py
@@ -215,7 +215,7 @@
             request.body,
         )
         current_attempt, is_new = self.state.attempts.join_or_start(
-            request_identity, request.body
+            request_identity, identity.content_digest(request.body)
         )
         if is_new:
             yield from self.run(
@@ -235,7 +235,8 @@
         The key of the joining caller is checked for each chunk, since it may
         differ from the key that started the attempt.
         """
-        if current_attempt.body != request.body:
+        body_digest = identity.content_digest(request.body)
+        if current_attempt.body_digest != body_digest:
             raise once_execution.identity_reused()
         self.state.metrics.joined.labels(request.service).inc()
         remaining_s = request.deadline - self.state.clock.monotonic()
--- a/packages/chestnutshunt/chestnutshunt/attempts/attempt.py
+++ b/packages/chestnutshunt/chestnutshunt/attempts/attempt.py
@@ -35,8 +35,8 @@
         True once the answer is complete or has failed.
     error : ChestnutshuntError or None
         Cause of a failure.
-    body : bytes
-        Body of the request, which a duplicate must repeat.
+    body_digest : bytes
+        Digest of the request's body, which a duplicate must repeat.
     """
 
     identity: str
@@ -50,7 +50,7 @@
     error: errors.ChestnutshuntError | None = None
     finished_at: float = 0.0
     readers: int = 0
-    body: bytes = attrs.field(default=b'', repr=False)
+    body_digest: bytes = b''
     condition: threading.Condition = attrs.field(factory=threading.Condition)
 
     def advance(self, state: progress.Progress) -> None:
--- a/packages/chestnutshunt/chestnutshunt/attempts/attempt_table.py
+++ b/packages/chestnutshunt/chestnutshunt/attempts/attempt_table.py
@@ -37,7 +37,7 @@
         self.lock = threading.Lock()
 
     def join_or_start(
-        self, identity: str, body: bytes = b''
+        self, identity: str, body_digest: bytes = b''
     ) -> tuple[attempt.Attempt, bool]:
         """Return the attempt for an identity, and whether it is new."""
         with self.lock:
@@ -48,7 +48,7 @@
             if found is not None:
                 return found, False
             created = attempt.Attempt(
-                identity, secrets.token_hex(8), body=body
+                identity, secrets.token_hex(8), body_digest=body_digest
             )
             self.attempts[identity] = created
             return created, True
--- a/packages/chestnutshunt/chestnutshunt/attempts/identity.py
+++ b/packages/chestnutshunt/chestnutshunt/attempts/identity.py
@@ -5,7 +5,12 @@
 
 from chestnutshunt.config import service_settings
 
-__all__ = ['body_digest', 'is_once', 'request_identity']
+__all__ = [
+    'body_digest',
+    'content_digest',
+    'is_once',
+    'request_identity',
+]
 
 
 def body_digest(service: str, path: str, body: bytes) -> str:
@@ -16,6 +21,11 @@
     return hasher.hexdigest()
 
 
+def content_digest(body: bytes) -> bytes:
+    """Return a digest that only equal bodies have."""
+    return hashlib.blake2b(body, digest_size=16).digest()
+
+
 def request_identity(
     workspace: str,
     service: str,
@@ -42,7 +52,8 @@
     if header:
         hasher.update(b'header\0' + header.encode())
     else:
-        hasher.update(b'body\0' + body)
+        hasher.update(b'body\0')
+        hasher.update(body)
     return hasher.hexdigest()
 
 
