Hold all that clients hold in one budget

A request of 33 MB alone was refused at 150 MB, or took 219 MB in one chunk.

Cause: a connection was given a thread before it had sent a byte and kept it until its answer was taken; a line of a chunk's size or a trailer, and a chunk, were read whole before any bound saw them; each bound was one of a message, and answers had none together.

Change: package clients. A connection waits without a thread until a whole head has come, within the operator's time for heads, which was not kept before. One budget out of memory_mb holds connections, heads, bodies, jobs and responses, at all listeners of the process. A thread that waits for a client does not count as one that serves. Where memory, threads or connections are short, the client that holds the most for the least progress is closed; connections that wait for the daemon never are. Bodies are read in parts of 64 KiB; size lines have 4 KiB, trailers the bound of a head. Too large a body is 413, a trailer 431, a late head 408. The receive buffers of the kernel have 64 KiB. A response that can't be held is 504, as the request has run. Jobs in process count, and their text is freed as it is decoded.

Why it works: what a client can keep is bounded by one number, whatever the kind, and keeping it longer only makes it the next to be closed.

Two tests of the server had a weight of bodies that is gone: their budget is a quarter instead.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_request.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_request.py
@@ -1,9 +1,12 @@
 """An HTTP request read from a caller."""
 
+from collections.abc import Callable
 import socket
 
 import attrs
 
+from chestnutshunt_daemon.callers import body_parts
+
 __all__ = ['CallerRequest']
 
 
@@ -20,11 +23,16 @@
     headers : dict of str to str
         Values by header name in lower case.
     body : bytes
-        Complete body.
+        Complete body; empty if it is in `parts`.
+    parts : BodyParts or None
+        Body of a request that submits a job.
     connection : socket
         Connection that the request was read from.
     arrived_at : float
         Monotonic time in seconds at which the request had been read.
+    cover_answer, cover_job : callable
+        Hold memory for a response, or for the items of a job, of so many
+        bytes; raise `OutOfMemory`.
     """
 
     method: str
@@ -33,6 +41,9 @@
     body: bytes = attrs.field(repr=False)
     connection: socket.socket
     arrived_at: float
+    parts: body_parts.BodyParts | None = None
+    cover_answer: Callable[[int], None] = lambda size: None
+    cover_job: Callable[[int], None] = lambda size: None
 
     @property
     def path(self) -> str:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_server.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_server.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import functools
 import http.client
+import io
 import logging
 import threading
 
@@ -11,10 +13,12 @@
 
 from chestnutshunt import clock
 from chestnutshunt import errors
-from chestnutshunt_daemon.callers import body_budget
+from chestnutshunt_daemon.callers import body_parts
 from chestnutshunt_daemon.callers import caller_request
 from chestnutshunt_daemon.callers import caller_response
 from chestnutshunt_daemon.callers import error_response
+from chestnutshunt_daemon.clients import client_budget
+from chestnutshunt_daemon.clients import holding
 from chestnutshunt_daemon import http_server
 
 __all__ = ['CallerServer', 'caller_server']
@@ -23,14 +27,8 @@
 
 LISTEN_BACKLOG_COUNT = 512
 
-# Read at one time of a body in chunks, or of one that is not kept.
-PART_BYTES = 65_536
-
-# Memory for the bodies of requests in process, if not set.
-DEFAULT_BODY_MEMORY_BYTES = 67_108_864
-
-# Half of the file descriptors of a small VM.
-MAX_IDLE_CONNECTIONS_COUNT = 2000
+# Memory for all that callers hold, if not set.
+DEFAULT_MEMORY_BYTES = 67_108_864
 
 # Used until the operator's limit is known.
 DEFAULT_IDLE_TIMEOUT_S = 30.0
@@ -43,9 +41,6 @@
     [caller_request.CallerRequest], caller_response.CallerResponse
 ]
 
-# Returns the memory that a byte of a body takes, by host and path.
-Weigh = Callable[[str, str], float]
-
 
 class Gateway(server.Gateway):
     """Passes one request to the handler and writes its response."""
@@ -59,35 +54,68 @@
             for name, value in request.inheaders.items()
         }
         target = request.uri.decode('latin-1')
-        weight = own_server.body_weight(
+        is_job = own_server.is_job(
             headers.get('host', ''), target.partition('?')[0]
         )
-        with own_server.budget.reserve(weight) as reservation:
-            try:
-                body = read_body(request, reservation)
-            except (OSError, ValueError) as exc:
-                LOG.info('Could not read the body of a request: %r', exc)
-                request.close_connection = True
-                return
-            except errors.OutOfMemory as exc:
-                LOG.warning(
-                    'Request refused for its size',
-                    extra={'path': target, 'error': exc.message},
-                )
-                request.close_connection = True
-                response = error_response.error_response(exc)
-                self.write(response, own_server)
-                return
-            incoming = caller_request.CallerRequest(
-                method=request.method.decode('latin-1'),
-                target=target,
-                headers=headers,
-                body=body,
-                connection=request.conn.socket,
-                arrived_at=own_server.clock.monotonic(),
+        connection = request.conn
+        parts = body_parts.BodyParts(connection.cover_body) if is_job else None
+        kept = io.BytesIO()
+        try:
+            self.read_body(kept if parts is None else parts)
+        except (OSError, ValueError) as exc:
+            LOG.info('Could not read the body of a request: %r', exc)
+            request.close_connection = True
+            request.ready = False
+            return
+        except (errors.BadRequest, errors.OutOfMemory) as exc:
+            LOG.warning(
+                'Request refused for its size',
+                extra={'path': target, 'error': exc.message},
             )
-            with own_server.count_request():
-                self.write(own_server.handler(incoming), own_server)
+            request.close_connection = True
+            self.write(error_response.error_response(exc), own_server)
+            return
+        incoming = caller_request.CallerRequest(
+            method=request.method.decode('latin-1'),
+            target=target,
+            headers=headers,
+            body=kept.getvalue(),
+            parts=parts,
+            connection=connection.socket,
+            arrived_at=own_server.clock.monotonic(),
+            cover_answer=functools.partial(
+                connection.cover, holding.Part.ANSWER
+            ),
+            cover_job=functools.partial(connection.cover, holding.Part.JOB),
+        )
+        with own_server.count_request():
+            self.write(own_server.handler(incoming), own_server)
+
+    def read_body(self, kept: io.BytesIO | body_parts.BodyParts) -> None:
+        """Read the whole body, holding memory for it before it comes.
+
+        Raises
+        ------
+        ValueError
+            The body is malformed, or the caller ended it early.
+        BadRequest
+            The body or its trailer is larger than the operator allows.
+        OutOfMemory
+            There is not enough memory for the body. What comes of it is read
+            without being kept, as its caller reads no response before.
+        """
+        body = self.req.rfile
+        if body.is_buffered:
+            kept.write(body.read())
+            return
+        with self.req.server.requests.while_waiting():
+            try:
+                body.reserve()
+                for part in body.parts():
+                    body.keep(kept, part)
+            except errors.OutOfMemory:
+                body.discard()
+                raise
 
     def write(
         self,
@@ -122,53 +150,7 @@
             request.close_connection = True
 
 
-def read_body(
-    request: server.HTTPRequest, reservation: body_budget.BodyReservation
-) -> bytes:
-    """Return the whole body.
-
-    cheroot returns what has come when the connection ends. A body that does
-    not fit is read to its end, as its caller reads no response before.
-
-    Raises
-    ------
-    ValueError
-        The caller ended the body early.
-    OutOfMemory
-        There is not enough memory for the body.
-    """
-    try:
-        body = read_parts(request, reservation)
-    except errors.OutOfMemory:
-        while request.rfile.read(PART_BYTES):
-            pass
-        raise
-    if request.chunked_read:
-        # What looks like the last chunk may be the cut-off size of another.
-        for line in request.rfile.read_trailer_lines():
-            LOG.info('Trailer of a request ignored: %r', line)
-        return body
-    length = int(request.inheaders.get(b'Content-Length', 0))
-    if len(body) < length:
-        raise ValueError(f'The body ends after {len(body)} of {length} bytes.')
-    return body
-
-
-def read_parts(
-    request: server.HTTPRequest, reservation: body_budget.BodyReservation
-) -> bytes:
-    """Return what comes of a body; raises `OutOfMemory`."""
-    if not request.chunked_read:
-        reservation.cover(int(request.inheaders.get(b'Content-Length', 0)))
-        return request.rfile.read()
-    body = bytearray()
-    while data := request.rfile.read(PART_BYTES):
-        reservation.cover(len(body) + len(data))
-        body += data
-    return bytes(body)
-
-
-class CallerServer(http_server.LoggingServer):
+class CallerServer(http_server.BudgetServer):
     """Server that counts its requests in flight, for draining."""
 
     def __init__(
@@ -177,27 +159,32 @@
         handler: Handler,
         threads: int,
         clock: clock.Clock,
-        body_memory_bytes: int,
-        body_weight: Weigh,
+        budget: client_budget.ClientBudget,
+        is_job: Callable[[str, str], bool],
     ) -> None:
-        super().__init__(address, Gateway, minthreads=threads)
+        super().__init__(address, Gateway)
         self.handler = handler
         self.clock = clock
-        self.budget = body_budget.BodyBudget(body_memory_bytes)
-        self.body_weight = body_weight
+        self.places = threads
+        self.budget = budget
+        self.is_job = is_job
         self.request_queue_size = LISTEN_BACKLOG_COUNT
         self.timeout = DEFAULT_IDLE_TIMEOUT_S
-        self.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS_COUNT
         self.shutdown_timeout = 1
         self.draining = threading.Event()
         self.in_flight = 0
         self.lock = threading.Lock()
 
     def apply_limits(
-        self, idle_s: float, header_bytes: int, body_bytes: int
+        self,
+        idle_s: float,
+        header_s: float,
+        header_bytes: int,
+        body_bytes: int,
     ) -> None:
         """Set the operator's limits for new connections."""
         self.timeout = idle_s + IDLE_MARGIN_S
+        self.header_timeout = header_s + IDLE_MARGIN_S
         self.max_request_header_size = header_bytes
         self.max_request_body_size = body_bytes
 
@@ -219,8 +206,8 @@
     handler: Handler,
     threads: int,
     clock: clock.Clock,
-    body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES,
-    body_weight: Weigh = lambda host, path: 1.0,
+    budget: client_budget.ClientBudget | None = None,
+    is_job: Callable[[str, str], bool] = lambda host, path: False,
 ) -> Iterator[CallerServer]:
     """Serve callers while the context is open.
 
@@ -234,10 +221,11 @@
         Requests served concurrently.
     clock : Clock
         Clock for arrival times.
-    body_memory_bytes : int, optional
-        Memory for the bodies of all requests in process.
-    body_weight : callable, optional
-        Returns the memory that a byte of a body takes, by host and path.
+    budget : ClientBudget, optional
+        Budget of all that callers hold.
+    is_job : callable, optional
+        Returns whether requests of a host and path submit jobs, whose bodies
+        are freed as they are decoded.
     """
     host, _, port = address.rpartition(':')
     own_server = CallerServer(
@@ -245,8 +233,8 @@
         handler,
         threads,
         clock,
-        body_memory_bytes,
-        body_weight,
+        budget or client_budget.ClientBudget(DEFAULT_MEMORY_BYTES, clock),
+        is_job,
     )
     with http_server.serving(own_server, address, 'caller_address'):
         yield own_server
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -35,11 +35,6 @@
 # Part of a request's time that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.05
 
-# Memory that a byte of a body takes while the request is served: for a job its
-# text and the decoded items, else the body and its copy.
-JOB_WEIGHT = 4.0
-REQUEST_WEIGHT = 2.0
-
 # Longest time for a call about a job, beside the wait for results.
 JOB_CALL_S = 2.0
 
@@ -171,13 +166,11 @@
                 'The daemon is shutting down.', retry_after_s=DRAINING_RETRY_S
             )
 
-    def body_weight(self, host: str, path: str) -> float:
-        """Return the memory that a byte of a request's body takes."""
+    def is_job(self, host: str, path: str) -> bool:
+        """Return whether requests of a host and path submit jobs."""
         current = self.state.deployment
         route = current.match_route(host, path) if current else None
-        if route is not None and route.kind is route_kind.RouteKind.JOBS:
-            return JOB_WEIGHT
-        return REQUEST_WEIGHT
+        return route is not None and route.kind is route_kind.RouteKind.JOBS
 
     def record_response(
         self,
@@ -294,6 +287,7 @@
             workspace=grant.workspace,
             deadline=self.deadline(request, grant),
             position=self.codec.stream_position(request.headers),
+            cover_answer=request.cover_answer,
         )
 
     def deadline(
@@ -315,12 +309,14 @@
     ) -> caller_response.CallerResponse:
         """Accept a batch job; raises `Draining` during a shutdown."""
         job_id = self.codec.request_id(request.headers)
+        body = request.parts or io.BytesIO(request.body)
         submitted = self.codec.decode_job(
-            io.BytesIO(request.body),
+            body,
             job_id,
             request.host,
             request.path,
             self.state.time.now(),
+            request.cover_job,
         )
         if self.state.leaving.is_set():
             raise errors.Draining(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -9,6 +9,7 @@
 from chestnutshunt import steps
 from chestnutshunt.store import adapter
 from chestnutshunt_daemon import admin_app
+from chestnutshunt_daemon.clients import client_budget
 from chestnutshunt_daemon import duties
 from chestnutshunt_daemon import front_app
 from chestnutshunt_daemon import http_server
@@ -26,7 +27,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# Admin requests served at one time, and their largest body.
 ADMIN_THREAD_COUNT = 4
+MAX_ADMIN_BODY_BYTES = 65_536
+
 # Time for peers and the load balancer to learn of the shutdown.
 LEAVE_NOTICE_S = 1.5
 
@@ -53,6 +57,9 @@
     state.usage = usage_counter.UsageCounter(state)
     mesh = peer_mesh.PeerMesh(state)
     mirror_relay = relay.Relay(state)
+    budget = client_budget.ClientBudget(
+        config.client_memory_bytes, state.clock
+    )
     with contextlib.ExitStack() as stack:
         stack.callback(state.connections.close)
         stack.callback(state.peer_clients.close)
@@ -89,6 +96,8 @@
                 admin_app.AdminApplication(state),
                 ADMIN_THREAD_COUNT,
                 'admin_address',
+                budget,
+                MAX_ADMIN_BODY_BYTES,
             )
         )
         stack.enter_context(
@@ -97,6 +106,7 @@
                 front_app.FrontApplication(state),
                 config.threads,
                 'caller_address',
+                budget,
             )
         )
         LOG.info(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/error_reply.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/error_reply.py
@@ -18,6 +18,7 @@
     413: 'Content Too Large',
     422: 'Unprocessable Content',
     429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
     500: 'Internal Server Error',
     502: 'Bad Gateway',
     503: 'Service Unavailable',
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -18,6 +18,7 @@
 from chestnutshunt_daemon.callers import caller_watch
 from chestnutshunt_daemon.callers import front_service
 from chestnutshunt_daemon.callers import ready_app
+from chestnutshunt_daemon.clients import client_budget
 from chestnutshunt_daemon import connection_pool
 from chestnutshunt_daemon.fleet import cleanup_duty
 from chestnutshunt_daemon.fleet import duty_holder
@@ -80,6 +81,11 @@
 # Time between two checks of whether a draining daemon is idle.
 DRAIN_POLL_S = 0.05
 
+# Readiness, metrics and dumps: requests served at one time, and the largest
+# body, which nothing reads.
+READY_THREAD_COUNT = 2
+MAX_READY_BODY_BYTES = 65_536
+
 # Time in which the load balancer notices that a daemon is not ready.
 READINESS_DELAY_S = 2.5
 
@@ -223,10 +229,21 @@
         ready = ready_app.ReadyApplication(
             state, lambda: fleet_dump.dump(state, holder, runner, relay)
         )
+        budget = client_budget.ClientBudget(
+            config.client_memory_bytes, state.clock
+        )
+        budget.reserved_bytes = runner.held_bytes
         addresses = {config.ready_address, config.metrics_address} - {''}
         for address in sorted(addresses):
             stack.enter_context(
-                http_server.http_server(address, ready, 2, 'ready_address')
+                http_server.http_server(
+                    address,
+                    ready,
+                    READY_THREAD_COUNT,
+                    'ready_address',
+                    budget,
+                    MAX_READY_BODY_BYTES,
+                )
             )
         server = stack.enter_context(
             caller_server.caller_server(
@@ -234,8 +251,8 @@
                 front.handle,
                 config.caller_threads,
                 state.clock,
-                config.body_memory_bytes,
-                front.body_weight,
+                budget,
+                front.is_job,
             )
         )
         mirror = state.mirrors[state.schema.config_kind]
@@ -271,7 +288,10 @@
     if state.deployment is not None:
         limits = state.deployment.limits
         server.apply_limits(
-            limits.idle_timeout_s, limits.header_bytes, limits.body_bytes
+            limits.idle_timeout_s,
+            limits.header_timeout_s,
+            limits.header_bytes,
+            limits.body_bytes,
         )
 
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_settings.py
@@ -16,9 +16,8 @@
 BASE_MEMORY_MB = 90
 ITEM_MEMORY_MB = 0.15
 
-# Part of the memory beside that for callers' bodies, and the least of it.
-BODY_RATIO = 0.6
-MIN_SPARE_MB = 30
+# Least memory for all that callers hold, in MB.
+MIN_CLIENT_MEMORY_MB = 10
 
 # Items that a daemon runs concurrently, however small or large its VM.
 MIN_RUNNING_ITEMS = 160
@@ -117,10 +116,10 @@
         return THREADS if self.capacity >= 1.0 else SMALL_VM_THREADS
 
     @property
-    def body_memory_bytes(self) -> int:
-        """Memory for the bodies of callers' requests in process."""
-        spare_mb = max(self.memory_mb - BASE_MEMORY_MB, MIN_SPARE_MB)
-        return int(BODY_RATIO * spare_mb * 1_000_000)
+    def client_memory_bytes(self) -> int:
+        """Memory for all that callers hold together."""
+        spare_mb = max(self.memory_mb - BASE_MEMORY_MB, MIN_CLIENT_MEMORY_MB)
+        return spare_mb * 1_000_000
 
     @property
     def running_items(self) -> int:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_run.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_run.py
@@ -53,6 +53,7 @@
         clock: clock.Clock,
     ) -> None:
         self.job = job
+        self.held_bytes = job.held_bytes
         self.clock = clock
         self.result_log = result_log.ResultLog(
             store, job.id, secrets.token_hex(6), clock
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -61,6 +61,9 @@
 # Jobs kept in memory only for reading, about 300 KB each.
 MAX_READABLE_RUNS_COUNT = 16
 
+# Jobs up to this size are not counted in the memory for callers.
+LARGE_JOB_BYTES = 1_000_000
+
 
 class JobRunner:
     """Starts items at targets with free slots; takes over orphaned jobs.
@@ -163,6 +166,11 @@
             if mean < MIN_DEMAND_ITEMS:
                 del self.mean_items[model]
 
+    def held_bytes(self) -> int:
+        """Return the memory that the items of large jobs take."""
+        sizes = [run.held_bytes for run in list(self.runs.values())]
+        return sum(size for size in sizes if size >= LARGE_JOB_BYTES)
+
     def add(self, job: job.Job) -> job_run.JobRun:
         """Run an accepted job; return its run if there is one already."""
         with self.lock:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/settings.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/settings.py
@@ -19,6 +19,9 @@
     'read_table',
 ]
 
+# Memory that a daemon needs beside what its clients hold.
+BASE_MEMORY_MB = 90
+
 FILE_REMEDY = 'Give the path of a TOML file.'
 
 
@@ -76,6 +79,8 @@
         Folder for the bytes of steps; empty to keep them in memory.
     threads : int
         Caller connections served at one time.
+    memory_mb : int
+        Memory of the VM that the daemon may use, in MB.
     heartbeat_s : float
         Seconds between heartbeats to a peer.
     lease_s : float
@@ -96,6 +101,7 @@
     seeds: list[str] = attrs.field(factory=list)
     data_folder: str = ''
     threads: int = attrs.field(default=128, validator=at_least(4))
+    memory_mb: int = attrs.field(default=256, validator=at_least(128))
     heartbeat_s: float = attrs.field(default=1.0, validator=at_least(0.05))
     lease_s: float = attrs.field(default=6.0, validator=at_least(0.5))
     log_format: str = attrs.field(
@@ -107,6 +113,11 @@
     )
     debug_steps: bool = False
 
+    @property
+    def client_memory_bytes(self) -> int:
+        """Memory for all that callers and operators hold together."""
+        return (self.memory_mb - BASE_MEMORY_MB) * 1_000_000
+
 
 def load_settings(path: str) -> DaemonSettings:
     """Read and check a settings file.
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/forwarder.py
@@ -271,13 +271,21 @@
             )
         try:
             incoming = self.exchanger.read_head(attempt, remaining_s)
+            body = incoming.body(
+                remaining_s, cover=pending.request.cover_answer
+            )
             response = forwarded_response.ForwardedResponse(
-                incoming.head, incoming.headers, incoming.body(remaining_s)
+                incoming.head, incoming.headers, body
             )
         except target_error.TargetError as exc:
             self.close_exchange(pending, attempt)
             self.record_failure(pending, attempt.replica, exc)
             return None
+        except errors.OutOfMemory as exc:
+            # Its status would promise that the request has not run.
+            raise errors.OutcomeUnknown(
+                f'The response was dropped: {exc.message}'
+            ) from exc
         self.close_exchange(pending, attempt)
         return self.check_response(pending, attempt.replica, response)
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_request.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_request.py
@@ -1,5 +1,7 @@
 """A request to targets."""
 
+from collections.abc import Callable
+
 import attrs
 
 from chestnutshunt_daemon.targets import stream_position
@@ -31,6 +33,8 @@
         Monotonic time in seconds after which the response is not needed.
     position : StreamPosition
         Where the caller takes a stream up again.
+    cover_answer : callable
+        Holds memory for a response of so many bytes; raises `OutOfMemory`.
     """
 
     id: str
@@ -42,3 +46,6 @@
     workspace: str
     deadline: float
     position: stream_position.StreamPosition = stream_position.StreamPosition()
+    cover_answer: Callable[[int], None] = attrs.field(
+        default=lambda size: None, repr=False, eq=False
+    )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/target_response.py
@@ -1,6 +1,8 @@
 """A response of a target, whose body is read as it arrives."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import io
 import logging
 
 import attrs
@@ -101,10 +103,26 @@
         self.complete = True
 
     def body(
-        self, read_s: float = BODY_READ_S, max_bytes: int = MAX_BODY_BYTES
+        self,
+        read_s: float = BODY_READ_S,
+        max_bytes: int = MAX_BODY_BYTES,
+        cover: Callable[[int], None] = lambda size: None,
     ) -> bytes:
-        """Return the complete body; the parameters are those of `chunks`."""
-        return b''.join(self.chunks(read_s, max_bytes))
+        """Return the complete body.
+
+        Parameters
+        ----------
+        read_s, max_bytes : float, int
+            As for `chunks`.
+        cover : callable, optional
+            Called with the bytes kept, before a part of them is read.
+        """
+        kept = io.BytesIO()
+        cover(min(self.http_response.length_remaining or 0, max_bytes))
+        for part in self.chunks(read_s, max_bytes):
+            cover(kept.tell() + len(part))
+            kept.write(part)
+        return kept.getvalue()
 
     def discard(self) -> None:
         """Read a body that is not used, if it is short and arrives soon.
--- a/tests/callers/test_caller_server.py
+++ b/tests/callers/test_caller_server.py
@@ -8,6 +8,7 @@
 from chestnutshunt import system_clock
 from chestnutshunt_daemon.callers import caller_response
 from chestnutshunt_daemon.callers import caller_server
+from chestnutshunt_daemon.clients import client_budget
 from chestnutshunt_standins import cluster
 
 TIMEOUT_S = 20.0
@@ -89,13 +90,20 @@
         handle,
         4,
         system_clock.SystemClock(),
-        1_000_000,
-        lambda host, path: 4.0 if path == '/x' else 1.0,
+        client_budget.ClientBudget(250_000 + client_budget.CONNECTION_BYTES),
     ) as server:
         yield address, bodies, entered, release, server
         release.set()
 
 
+def wait_until_given_back(server):
+    """Wait until the connections that were closed hold nothing."""
+    cluster.wait_until(
+        lambda: not server.budget.holdings, 'all connections are closed'
+    )
+    assert server.budget.used_bytes == 0
+
+
 # Guards against LOST and Fault: bodies within the operator's limit took a
 # daemon over its memory, with the requests of all its callers.
 @pytest.mark.parametrize('framed', ['length', 'chunks'])
@@ -113,7 +121,7 @@
     if status == 503:
         assert b'Retry-After' in received
         assert b'"out_of_memory"' in received
-    assert server.budget.used_bytes == 0
+    wait_until_given_back(server)
 
 
 def test_bodies_in_process_count_together(small):
@@ -127,7 +135,7 @@
     thread.join()
     assert send(address, whole).startswith(b'HTTP/1.1 200')
     assert bodies == [150_000, 150_000]
-    assert server.budget.used_bytes == 0
+    wait_until_given_back(server)
 
 
 # Callers got a 500 in place of a response that had been run: the status was
--- a/tests/jobs/test_item_reader.py
+++ b/tests/jobs/test_item_reader.py
@@ -7,6 +7,7 @@
 
 from chestnutshunt.jobs import item
 from chestnutshunt.jobs import item_reader
+from chestnutshunt_daemon.callers import body_parts
 
 
 def decode(value):
@@ -43,3 +44,18 @@
     read(body, held.append)
     assert held == [held[0], 2 * held[0], 3 * held[0]]
     assert held[0] >= 100
+
+
+def test_parts_of_a_body_are_freed_as_they_are_read():
+    left = []
+    parts = body_parts.BodyParts(left.append)
+    text = json.dumps({'items': [{'id': '1', 'body': 'x'}]}).encode()
+    for at in range(0, len(text), 7):
+        parts.write(text[at : at + 7])
+    _, found = item_reader.read_items(
+        parts, 'items', decode, lambda size: None
+    )
+    assert len(found) == 1
+    assert left == sorted(left, reverse=True)
+    assert left[-1] == 0
+    assert not parts.parts
