Have glibc return large blocks

What callers saw: nothing; in the tests of clients with one chunk and with whole bodies again and again a daemon took 105 to 107 MB of 100, with 10 MB held for clients.

Cause: once a block of up to 32 MiB has been freed, glibc keeps blocks of that size, in an arena for each few threads. Change: blocks from 128 KiB on are mapped and returned one by one, and there are two arenas.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -9,6 +9,7 @@
 from chestnutshunt import steps
 from chestnutshunt.store import adapter
 from chestnutshunt_daemon import admin_app
+from chestnutshunt_daemon import allocator
 from chestnutshunt_daemon.clients import client_budget
 from chestnutshunt_daemon import duties
 from chestnutshunt_daemon import front_app
@@ -51,6 +52,7 @@
 @contextlib.contextmanager
 def run_daemon(state: node.Node) -> Iterator[node.Node]:
     """Run the servers and threads of a daemon until the context ends."""
+    allocator.return_large_blocks()
     config = state.config
     steps.gates.enabled = config.debug_steps
     state.limits = limits.WorkspaceLimiter(state)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -12,6 +12,7 @@
 from chestnutshunt.jobs import job_codec
 from chestnutshunt.store import object_store
 from chestnutshunt.weights import weight_loader
+from chestnutshunt_daemon import allocator
 from chestnutshunt_daemon.callers import admission
 from chestnutshunt_daemon.callers import caller_codec
 from chestnutshunt_daemon.callers import caller_server
@@ -150,6 +151,7 @@
     state: fleet_state.FleetState, adapter: Adapter
 ) -> Iterator[FleetDaemon]:
     """Run a daemon until the context ends."""
+    allocator.return_large_blocks()
     config = state.config
     with contextlib.ExitStack() as stack:
         clients = peer_clients.PeerClients(fleet_pb2_grpc.FleetStub)
