Store items that are larger than an object of the store in pieces

What callers saw: a job with an item whose stored form is over 1 MiB, which the operator allows, was refused by the store and so with 503, however often it was submitted.

Cause: an item was never split. Change: the text of such an item is stored in pieces of 500,000 characters, which are at most 1 MiB also if each is escaped. Other items are stored as before.

--- a/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/acceptance.py
@@ -1,7 +1,9 @@
 """Durable acceptance of a job by one conditional create."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import json
+from typing import Any
 
 from returns import result
 
@@ -17,6 +19,10 @@
 # The store takes objects of up to 1 MiB.
 MAX_PART_BYTES = 800_000
 
+# Piece of the text of an item that is larger. Quotes and backslashes take two
+# bytes each.
+MAX_PIECE_CHARS = 500_000
+
 # Calls to create an object while no reply says whether it exists. Each takes
 # half a second; a caller that is refused does not retry any sooner.
 CREATE_ATTEMPT_COUNT = 2
@@ -35,9 +41,8 @@
         and will not do so later; `PlatformUncertain` that it may have.
     """
     count = 0
-    for number, part in enumerate(split_items(submitted.items)):
+    for number, value in enumerate(split_items(submitted.items)):
         count = number + 1
-        value = {'items': part}
         kind = job_codec.items_kind(submitted.id)
         match create_with_retry(store, kind, f'{number:04d}', value):
             case result.Success() | result.Failure(errors.Conflict()):
@@ -122,28 +127,50 @@
             f'{len(parts)} of {value["parts"]} parts are stored.'
         )
         return result.Failure(errors.PlatformUnavailable(message))
-    items = tuple(
-        entry
-        for part in parts[: value['parts']]
-        for entry in job_codec.decode_items(part.value['items'])
-    )
+    items = tuple(join_parts(parts[: value['parts']]))
     return result.Success(job_codec.decode_job(value, items))
 
 
-def split_items(items: tuple[item.Item, ...]) -> Iterator[list[dict]]:
+def split_items(items: tuple[item.Item, ...]) -> Iterator[dict[str, Any]]:
     """Yield the items' JSON forms in parts that fit into one object.
 
-    An item larger than `MAX_PART_BYTES` gets a part of its own.
+    The text of an item larger than `MAX_PART_BYTES` gets several parts.
     """
     part: list[dict] = []
     size = 0
     for entry in items:
         value = job_codec.encode_item(entry)
-        length = len(json.dumps(value))
-        if part and size + length > MAX_PART_BYTES:
-            yield part
+        text = json.dumps(value)
+        if part and size + len(text) > MAX_PART_BYTES:
+            yield {'items': part}
             part = []
             size = 0
+        if len(text) > MAX_PART_BYTES:
+            yield from split_text(text)
+            continue
         part.append(value)
-        size += length
-    yield part
+        size += len(text)
+    if part:
+        yield {'items': part}
+
+
+def split_text(text: str) -> Iterator[dict[str, Any]]:
+    """Yield the text of one item in pieces that fit into one object each."""
+    for at in range(0, len(text), MAX_PIECE_CHARS):
+        end = at + MAX_PIECE_CHARS
+        yield {'piece': text[at:end], 'more': end < len(text)}
+
+
+def join_parts(
+    parts: Iterable[stored_object.StoredObject],
+) -> Iterator[item.Item]:
+    """Yield the items of parts that `split_items` has made."""
+    pieces = []
+    for part in parts:
+        if 'piece' not in part.value:
+            yield from job_codec.decode_items(part.value['items'])
+            continue
+        pieces.append(part.value['piece'])
+        if not part.value['more']:
+            yield job_codec.decode_item(json.loads(''.join(pieces)))
+            pieces.clear()
--- a/packages/chestnutshunt/chestnutshunt/jobs/job_codec.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/job_codec.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'JOB_KIND',
+    'decode_item',
     'decode_items',
     'decode_job',
     'encode_item',
--- a/tests/jobs/test_acceptance.py
+++ b/tests/jobs/test_acceptance.py
@@ -1,5 +1,8 @@
 """A job is accepted exactly once, even if replies to writes are lost."""
 
+import json
+
+import attrs
 from returns import result as outcome
 
 from chestnutshunt import errors
@@ -44,6 +47,25 @@
     assert acceptance.read_job(store, value).unwrap() == submitted
 
 
+# The store takes objects of up to 1 MiB: a job with a larger item was refused
+# however often it was submitted.
+def test_an_item_larger_than_an_object_is_stored_in_pieces():
+    store = memory_store.MemoryStore()
+    sizes = (10, 2_500_000, 10, 700_000, 1_200_000)
+    entries = tuple(
+        item.Item(f'i{n}', '/p/', {'A': '"\\'}, b'x' * size, 'g')
+        for n, size in enumerate(sizes)
+    )
+    entries += (item.Item('q', '/p/', {'A': '"' * 900_000}, b''),)
+    submitted = attrs.evolve(make_job(), items=entries)
+    assert acceptance.accept(store, submitted).unwrap() is True
+    value = store.get(job_codec.JOB_KIND, 'j').unwrap().value
+    assert acceptance.read_job(store, value).unwrap() == submitted
+    parts = store.list_kind(job_codec.items_kind('j')).unwrap().objects
+    assert len(parts) == value['parts']
+    assert all(len(json.dumps(part.value)) < 1_048_000 for part in parts)
+
+
 def test_a_refused_job_is_not_stored():
     store = memory_store.MemoryStore()
     store.down = True
