--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/body_parts.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/body_parts.py
@@ -28,12 +28,16 @@
 
     def read(self, size: int = -1) -> bytes:
         """Return the next bytes, at most so many; b'' at the end."""
-        if not size or not self.parts:
-            return b''
-        part = self.parts.popleft()
-        if 0 < size < len(part):
-            self.parts.appendleft(part[size:])
-            part = part[:size]
-        self.size -= len(part)
-        self.cover(self.size)
-        return part
+        taken = []
+        left = self.size if size < 0 else min(size, self.size)
+        while left:
+            part = self.parts.popleft()
+            if len(part) > left:
+                self.parts.appendleft(part[left:])
+                part = part[:left]
+            left -= len(part)
+            self.size -= len(part)
+            taken.append(part)
+        if taken:
+            self.cover(self.size)
+        return b''.join(taken)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_response.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_response.py
@@ -22,9 +22,13 @@
     stream : generator of bytes or None
         Body that is sent in chunks as it arrives. If it raises, the
         connection is closed without the last chunk.
+    is_shared : bool
+        Whether the body is kept for other purposes anyway, so that no memory
+        is held for it.
     """
 
     status: int
     headers: list[tuple[str, str]] = attrs.field(factory=list)
     body: bytes = attrs.field(default=b'', repr=False)
     stream: Generator[bytes, None, None] | None = None
+    is_shared: bool = False
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_server.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_server.py
@@ -27,6 +27,8 @@
 
 LISTEN_BACKLOG_COUNT = 512
 
+PART_BYTES = 65_536
+
 # Memory for all that callers hold, if not set.
 DEFAULT_MEMORY_BYTES = 67_108_864
 
@@ -137,7 +139,8 @@
             request.outheaders.append((b'Content-Length', length))
             request.ensure_headers_sent()
             if response.body and request.method != b'HEAD':
-                request.write(response.body)
+                for part in body_pieces(response):
+                    request.write(part)
             return
         request.ensure_headers_sent()
         try:
@@ -150,6 +153,18 @@
             request.close_connection = True
 
 
+def body_pieces(
+    response: caller_response.CallerResponse,
+) -> Iterator[bytes | memoryview]:
+    """Yield the body whole, or in parts if no memory is held for it."""
+    if not response.is_shared:
+        yield response.body
+        return
+    body = memoryview(response.body)
+    for at in range(0, len(body), PART_BYTES):
+        yield body[at : at + PART_BYTES]
+
+
 class CallerServer(http_server.BudgetServer):
     """Server that counts its requests in flight, for draining."""
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -357,7 +357,7 @@
         self.refuse_late(self.job_call_end())
         workspace = self.admission.workspace(self.codec.key(request.headers))
         body = self.jobs.item_body(call.job_id, workspace, call.item_id)
-        return caller_response.CallerResponse(200, [], body)
+        return caller_response.CallerResponse(200, [], body, is_shared=True)
 
     def serve_end(
         self, call: calls.EndJob, request: caller_request.CallerRequest
--- a/tests/clients/test_large_requests.py
+++ b/tests/clients/test_large_requests.py
@@ -18,6 +18,9 @@
 
 ITEM_BYTES = 48_000
 SMALL_ITEM_BYTES = 900
+# More than an object of the store holds, and the most in one item.
+LARGE_ITEM_BYTES = 1_200_000
+WHOLE_ITEM_BYTES = 25_000_000
 
 
 def by_length(client):
@@ -79,7 +82,10 @@
 
 
 @pytest.mark.timeout(300)
-@pytest.mark.parametrize('item_bytes', [ITEM_BYTES, SMALL_ITEM_BYTES])
+@pytest.mark.parametrize(
+    'item_bytes',
+    [ITEM_BYTES, SMALL_ITEM_BYTES, LARGE_ITEM_BYTES, WHOLE_ITEM_BYTES],
+)
 def test_a_job_alone_is_accepted_and_run(fleet, item_bytes):
     daemon = test_client_crowds.start(fleet, MEMORY_MB)
     body, count = job_body(item_bytes)
--- a/tests/jobs/test_item_reader.py
+++ b/tests/jobs/test_item_reader.py
@@ -46,6 +46,15 @@
     assert held[0] >= 100
 
 
+def test_memory_is_held_for_an_item_before_it_is_whole():
+    held = []
+    item_bytes = 4 * item_reader.READ_BYTES
+    value = [{'id': '1', 'body': 'x' * item_bytes}, {'id': '2', 'body': 'x'}]
+    read(json.dumps({'items': value}).encode(), held.append)
+    assert max(held) > item_reader.PENDING_WEIGHT * item_bytes // 2
+    assert held[-1] < 2 * item_bytes
+
+
 def test_parts_of_a_body_are_freed_as_they_are_read():
     left = []
     parts = body_parts.BodyParts(left.append)
