Close idle connections for memory only if that suffices

What callers saw: nothing yet; read in the code. A request that needs more memory than all that stall hold closed every idle connection of the daemon, for nothing. And while all places were taken, clients that stall were not closed if a thread was idle, as idle threads were taken off the connections that wait.

Change: connections without a request are closed for memory only if enough comes free; the idle threads count only where there are places.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_budget.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_budget.py
@@ -210,11 +210,16 @@
         return [(other, wait_s) for other, wait_s in waits if wait_s >= min_s]
 
     def free_memory(self, missing_bytes: int) -> None:
-        """Close the worst clients until enough memory will be free."""
+        """Close the worst clients until enough memory will be free.
+
+        Connections without a request are closed only if that suffices.
+        """
         missing_bytes -= sum(
             other.held_bytes for other in self.holdings if other.is_closing
         )
         stalled = self.stalled()
+        if sum(other.held_bytes for other, _ in stalled) < missing_bytes:
+            stalled = [x for x in stalled if x[0].has_thread]
         stalled.sort(key=lambda entry: entry[0].held_bytes * entry[1])
         while missing_bytes > 0 and stalled:
             worst, wait_s = stalled.pop()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_connection.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_connection.py
@@ -18,9 +18,6 @@
 # Part of a head that the memory of a connection covers.
 FREE_HEAD_BYTES = 16_384
 
-# Bodies, responses and jobs up to this size are not counted.
-FREE_PART_BYTES = 65_536
-
 HEAD_TIMEOUT_RESPONSE = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
@@ -150,7 +147,7 @@
 
     def cover(self, part: holding.Part, size: int) -> None:
         """Hold memory for a part of a request; raises `OutOfMemory`."""
-        if size <= FREE_PART_BYTES:
+        if size <= holding.FREE_PART_BYTES:
             size = 0
         if self.holder.held.get(part, 0) != size:
             self.budget.cover(self.holder, part, size)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_socket.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_socket.py
@@ -106,7 +106,7 @@
     def cover_answer(self, size: int) -> None:
         """Hold memory for an answer, at least as much as before."""
         held_bytes = self.holder.held.get(holding.Part.ANSWER, 0)
-        if size > held_bytes:
+        if size > max(held_bytes, holding.FREE_PART_BYTES):
             self.budget.cover(self.holder, holding.Part.ANSWER, size)
 
     def wait(self, event: int) -> None:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/holding.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/holding.py
@@ -11,6 +11,9 @@
 # then is as one that stands still.
 PROGRESS_BYTES = 32_768
 
+# Bodies, responses and jobs up to this size are not counted.
+FREE_PART_BYTES = 65_536
+
 
 class Part(enum.Enum):
     """What memory is held for."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/worker_pool.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/worker_pool.py
@@ -128,15 +128,14 @@
         for what else they keep, such as a slot of a target.
         """
         with self.lock:
-            waiting_count = len(self.queued) - self.idle_count
-            places = self.places
+            queued_count = len(self.queued)
+            startable = min(queued_count, self.places) - self.idle_count
+            has_place = self.places > 0
             is_full = len(self._threads) >= self.max
-        if waiting_count <= 0:
-            return
-        if places <= 0:
-            self.budget.free_threads(waiting_count, SLOT_STALL_S)
-        elif is_full:
-            self.budget.free_threads(min(waiting_count, places))
+        if queued_count and not has_place:
+            self.budget.free_threads(queued_count, SLOT_STALL_S)
+        elif is_full and startable > 0:
+            self.budget.free_threads(startable)
 
     def stop(self, timeout: float = 5) -> None:
         """End the threads; cut what they have not finished in time.
--- a/tests/clients/test_client_budget.py
+++ b/tests/clients/test_client_budget.py
@@ -70,6 +70,7 @@
     moving.hold(20 * CONNECTION)
     served.hold(20 * CONNECTION)
     for client in (small, large, moving):
+        client.ask()
         client.stall()
     clock.advance(client_budget.STALL_S)
     moving.move(holding.PROGRESS_BYTES)
@@ -140,3 +141,18 @@
     with pytest.raises(errors.OutOfMemory):
         Client(budget).hold(LIMIT + 1, wait_s=60.0)
     assert not stalled.closed
+
+
+def test_idle_connections_are_kept_if_they_do_not_hold_enough(budget, clock):
+    idle, stalled, served = (Client(budget) for _ in range(3))
+    idle.stall()
+    stalled.ask()
+    stalled.hold(10 * CONNECTION)
+    stalled.stall()
+    served.hold(40 * CONNECTION)
+    clock.advance(client_budget.STALL_S)
+    budget.free_memory(50 * CONNECTION)
+    assert (idle.closed, stalled.closed) == (False, True)
+    budget.close(stalled.holder)
+    budget.free_memory(CONNECTION)
+    assert (idle.closed, served.closed) == (True, False)
