Show what clients hold in the dump and the metrics

A bound that is hit is counted: clients closed for others, by what was short. The dump tells what clients hold, of how much, and how many of them are being waited for. The tests of crowds check that all of it is given back. A page of results has its memory before it is encoded, not once its caller does not take it.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -338,6 +338,8 @@
             max(call.after, 0),
             min(call.wait_s, left_s),
         )
+        # The text of the response, and its bytes.
+        request.cover_answer(2 * sum(len(x.text) for x in page.results))
         body = self.codec.encode_page(page)
         return caller_response.CallerResponse(
             200, [error_response.JSON_HEADER], body
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_budget.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_budget.py
@@ -61,6 +61,9 @@
     ----------
     reserved_bytes : callable
         Returns the part of the memory that accepted work takes.
+    on_closed : callable
+        Called, with the lock held, when a client was closed for others; its
+        argument is what was short.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         self.clock = clock or system_clock.SystemClock()
         self.used_bytes = 0
         self.reserved_bytes: Callable[[], int] = lambda: 0
+        self.on_closed: Callable[[str], None] = lambda short: None
         self.holdings: set[holding.Holding] = set()
         self.condition = threading.Condition()
 
@@ -274,5 +278,19 @@
                 'connections': len(self.holdings),
             },
         )
+        self.on_closed(short)
         with contextlib.suppress(OSError):
             worst.close()
+
+    def dump(self) -> dict[str, int]:
+        """Return what is held as JSON values."""
+        with self.condition:
+            return {
+                'connections': len(self.holdings),
+                'max_connections': self.max_connections,
+                'held_bytes': self.used_bytes,
+                'jobs_bytes': self.reserved_bytes(),
+                'limit_bytes': self.limit_bytes,
+                'with_thread': sum(x.has_thread for x in self.holdings),
+                'waited_for': len(self.stalled(0.0)),
+            }
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/daemon.py
@@ -62,6 +62,8 @@
     budget = client_budget.ClientBudget(
         config.client_memory_bytes, state.clock
     )
+    closed = state.metrics.clients_closed
+    budget.on_closed = lambda short: closed.labels(short).inc()
     with contextlib.ExitStack() as stack:
         stack.callback(state.connections.close)
         stack.callback(state.peer_clients.close)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -228,13 +228,11 @@
             job_api.JobApi(state, store, runner, clients),
             watch,
         )
+        budget = make_budget(state, runner)
         ready = ready_app.ReadyApplication(
-            state, lambda: fleet_dump.dump(state, holder, runner, relay)
-        )
-        budget = client_budget.ClientBudget(
-            config.client_memory_bytes, state.clock
+            state,
+            lambda: fleet_dump.dump(state, holder, runner, relay, budget),
         )
-        budget.reserved_bytes = runner.held_bytes
         addresses = {config.ready_address, config.metrics_address} - {''}
         for address in sorted(addresses):
             stack.enter_context(
@@ -269,6 +267,19 @@
         yield FleetDaemon(state, server, runner, front)
 
 
+def make_budget(
+    state: fleet_state.FleetState, runner: job_runner.JobRunner
+) -> client_budget.ClientBudget:
+    """Return the budget of all that the clients of a daemon hold."""
+    budget = client_budget.ClientBudget(
+        state.config.client_memory_bytes, state.clock
+    )
+    budget.reserved_bytes = runner.held_bytes
+    closed = state.metrics.clients_closed
+    budget.on_closed = lambda short: closed.labels(short).inc()
+    return budget
+
+
 def read_periods_s(state: fleet_state.FleetState) -> dict[str, float]:
     """Return the seconds between two reads of each kind."""
     schema = state.schema
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from chestnutshunt_daemon.clients import client_budget
 from chestnutshunt_daemon.fleet import duty_holder
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import job_run
@@ -16,6 +17,7 @@
     holder: duty_holder.DutyHolder,
     runner: job_runner.JobRunner,
     relay: origin_relay.OriginRelay,
+    budget: client_budget.ClientBudget,
 ) -> dict[str, Any]:
     """Return the daemon's state as JSON values; ages are in seconds."""
     deployment = state.deployment
@@ -78,6 +80,7 @@
             'known': len(state.origins.table),
             'unsent': len(relay.unsent),
         },
+        'clients': budget.dump(),
         'jobs': [dump_run(run) for run in list(runner.runs.values())],
         'usage': state.counts.own_totals(),
     }
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_metrics.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_metrics.py
@@ -47,6 +47,11 @@
         self.permits = self.counter(
             'permits', 'Permits for rate-limited targets.', ['outcome']
         )
+        self.clients_closed = self.counter(
+            'clients_closed',
+            'Clients closed for others.',
+            ['short_of'],
+        )
         self.dropped_lines = self.counter(
             'log_lines_dropped', 'Log lines dropped to stay bounded.', []
         )
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/metrics.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/metrics.py
@@ -38,6 +38,12 @@
             ['service'],
             registry=self.registry,
         )
+        self.clients_closed = prometheus_client.Counter(
+            'chestnutshunt_clients_closed',
+            'Clients closed for others.',
+            ['short_of'],
+            registry=self.registry,
+        )
         self.heartbeats = prometheus_client.Counter(
             'chestnutshunt_heartbeats',
             'Frames exchanged with peers.',
--- a/tests/clients/test_client_crowds.py
+++ b/tests/clients/test_client_crowds.py
@@ -39,6 +39,9 @@
 ITEM_COUNT = 5
 TEXT = 'd' * 120_000
 
+# Connections of ordinary callers and of the dump.
+LEFT_COUNT = 8
+
 # Time that an ordinary caller has with its retries; bounds a failing run.
 PATIENCE_S = 30.0
 CALL_S = 10.0
@@ -305,6 +308,10 @@
             assert not daemon.ended()
             call_patiently(daemon)
         call_patiently(daemon)
+        cluster.wait_until(
+            lambda: daemon.dump()['clients']['connections'] <= LEFT_COUNT,
+            'what the crowd held is given back',
+        )
     print(kind, peak)
     assert not daemon.ended()
     assert peak.memory_bytes < bound_bytes
