Forward the whole body of a request whose route was one of jobs

What callers saw: nothing yet; found while reading the change. Bodies of job routes are kept in parts. If the configuration changed the kind of the route between the reading of a request and its admission, an empty body would have been forwarded. The test failed before, for want of the method.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_request.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/caller_request.py
@@ -45,6 +45,10 @@
     cover_answer: Callable[[int], None] = lambda size: None
     cover_job: Callable[[int], None] = lambda size: None
 
+    def whole_body(self) -> bytes:
+        """Return the body, also that of a job; it can't be decoded then."""
+        return self.body if self.parts is None else self.parts.read()
+
     @property
     def path(self) -> str:
         """Path without the query."""
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/callers/front_service.py
@@ -283,7 +283,8 @@
                 for name, value in request.headers.items()
                 if name not in dropped
             ),
-            body=request.body,
+            # The route may have been one of jobs when the body was read.
+            body=request.whole_body(),
             workspace=grant.workspace,
             deadline=self.deadline(request, grant),
             position=self.codec.stream_position(request.headers),
