Let threads that keep something go on without a place

Cause: a thread that had waited for its client waited for a place before it went on, also to give up the slot of its target. The threads with places waited for such slots, all until their deadline of 20 s.

Change: a thread that sends, or that ends with an error, goes on at once; one that reads a body still waits. Clients that stall are closed after 0.5 s also while all places are taken.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_budget.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_budget.py
@@ -19,7 +19,7 @@
 # nobody has read.
 CONNECTION_BYTES = 32_768
 
-# Memory of a thread that waits for a client.
+# Memory of a thread, and of what its client sends ahead meanwhile.
 THREAD_BYTES = 131_072
 
 # Parts of the memory for connections and for threads that wait for clients.
@@ -187,6 +187,9 @@
         with self.condition:
             holder.has_asked = True
             holder.has_thread = True
+            if holding.Part.THREAD not in holder.held:
+                holder.held[holding.Part.THREAD] = THREAD_BYTES
+                self.used_bytes += THREAD_BYTES
             holder.waiting_since = None
             holder.restart()
 
@@ -230,22 +233,14 @@
             missing_bytes -= worst.held_bytes
             self.close_holder(worst, 'memory', wait_s)
 
-    def free_threads(self, count: int, min_s: float = STALL_S) -> None:
-        """Close the clients that threads have waited for the longest.
-
-        Parameters
-        ----------
-        count : int
-            Most clients to close.
-        min_s : float, optional
-            Seconds without progress after which a client may be closed.
-        """
+    def free_threads(self, count: int) -> None:
+        """Close the clients that threads have waited for the longest."""
         with self.condition:
             count -= sum(
                 other.is_closing and other.has_thread
                 for other in self.holdings
             )
-            stalled = [x for x in self.stalled(min_s) if x[0].has_thread]
+            stalled = [x for x in self.stalled() if x[0].has_thread]
             stalled.sort(key=lambda entry: entry[1])
             for worst, wait_s in stalled[::-1][: max(count, 0)]:
                 self.close_holder(worst, 'threads', wait_s)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_connection.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_connection.py
@@ -49,7 +49,12 @@
     def respond(self) -> None:
         """Call the gateway and write its response."""
         self.rfile = self.make_body()
-        self.server.gateway(self).respond()
+        if self.rfile.is_buffered:
+            self.server.gateway(self).respond()
+        else:
+            self.conn.client.set_reading(True)
+            self.server.gateway(self).respond()
+            self.conn.client.set_reading(False)
         if self.ready:
             self.ensure_headers_sent()
         if self.chunked_write:
@@ -98,7 +103,7 @@
         self.is_new = True
         self.head_since: float | None = None
         self.idle_since = server.clock.monotonic()
-        client = client_socket.ClientSocket(
+        self.client = client_socket.ClientSocket(
             sock,
             self.holder or holding.Holding(sock.close),
             server.budget,
@@ -106,8 +111,8 @@
             server.timeout,
         )
         files = {
-            'rb': client_reader.ClientReader(client),
-            'wb': client_writer.ClientWriter(client),
+            'rb': client_reader.ClientReader(self.client),
+            'wb': client_writer.ClientWriter(self.client),
         }
         super().__init__(server, sock, lambda _, mode, size: files[mode])
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_socket.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/client_socket.py
@@ -13,6 +13,11 @@
 
 MS_PER_S = 1000.0
 
+# Receive buffers of the kernel while nothing is read, and while a body is. The
+# kernel doubles them; the first must fit into the memory of a connection.
+IDLE_BUFFER_BYTES = 16_384
+READING_BUFFER_BYTES = 65_536
+
 
 class ClientSocket:
     """Reads from and writes to a client without blocking on its own.
@@ -49,6 +54,13 @@
         self.timeout_s = timeout_s
         sock.setblocking(False)
 
+    def set_reading(self, is_reading: bool) -> None:
+        """Let the client send further ahead while its body is read."""
+        size = READING_BUFFER_BYTES if is_reading else IDLE_BUFFER_BYTES
+        with contextlib.suppress(OSError):
+            # The connection may have been closed.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def receive_now(self, size: int) -> bytes | None:
         """Return what has come, b'' at the end, ``None`` if nothing has."""
         try:
@@ -90,7 +102,7 @@
             self.cover_answer(len(data))
         except errors.OutOfMemory as exc:
             raise ConnectionAbortedError(exc.message) from exc
-        with self.pool.while_waiting():
+        with self.pool.while_waiting(is_urgent=True):
             while rest:
                 self.wait(select.POLLOUT)
                 sent_bytes = self.send_now(rest)
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/holding.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/holding.py
@@ -19,6 +19,7 @@
     """What memory is held for."""
 
     CONNECTION = 'connection'
+    THREAD = 'thread'
     HEAD = 'head'
     BODY = 'body'
     JOB = 'job'
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/worker_pool.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/clients/worker_pool.py
@@ -15,10 +15,6 @@
 
 __all__ = ['WorkerPool']
 
-# Time without progress after which a client is closed while all places are
-# taken.
-SLOT_STALL_S = 2.0
-
 
 class WorkerPool(threadpool.ThreadPool):
     """Serves a number of connections at one time.
@@ -97,8 +93,16 @@
         return True
 
     @contextlib.contextmanager
-    def while_waiting(self) -> Iterator[None]:
-        """Give up the place of this thread while the context is open."""
+    def while_waiting(self, is_urgent: bool = False) -> Iterator[None]:
+        """Give up the place of this thread while the context is open.
+
+        Parameters
+        ----------
+        is_urgent : bool, optional
+            Whether the thread goes on without waiting for a place, as those
+            that have one may wait for what it keeps, such as a slot of a
+            target. After an error it always does.
+        """
         with self.lock:
             had_place = self.give_place()
             if had_place and self.queued:
@@ -106,18 +110,17 @@
             needs_thread = had_place and not self.idle_count
             if needs_thread and len(self._threads) < self.max:
                 self._threads.append(self._spawn_worker())
-        try:
-            yield
-        finally:
-            if had_place:
-                self.return_to_place()
-
-    def return_to_place(self) -> None:
-        """Wait for a place; threads that return go before new requests."""
+        yield
+        if had_place:
+            self.return_to_place(is_urgent)
+
+    def return_to_place(self, is_urgent: bool) -> None:
+        """Take a place; threads that return go before new requests."""
         with self.lock:
-            self.returning_count += 1
-            self.room.wait_for(lambda: self.stopping or self.places > 0)
-            self.returning_count -= 1
+            if not is_urgent:
+                self.returning_count += 1
+                self.room.wait_for(lambda: self.stopping or self.places > 0)
+                self.returning_count -= 1
             self.places -= 1
             self.local.has_place = True
 
@@ -133,7 +136,7 @@
             has_place = self.places > 0
             is_full = len(self._threads) >= self.max
         if queued_count and not has_place:
-            self.budget.free_threads(queued_count, SLOT_STALL_S)
+            self.budget.free_threads(queued_count)
         elif is_full and startable > 0:
             self.budget.free_threads(startable)
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/http_server.py
@@ -14,6 +14,7 @@
 from chestnutshunt import system_clock
 from chestnutshunt_daemon.clients import client_budget
 from chestnutshunt_daemon.clients import client_connection
+from chestnutshunt_daemon.clients import client_socket
 from chestnutshunt_daemon.clients import connection_intake
 from chestnutshunt_daemon.clients import worker_pool
 from chestnutshunt_daemon import settings
@@ -31,8 +32,6 @@
 # Time between two looks for connections that are overdue.
 EXPIRATION_INTERVAL_S = 0.25
 
-RECEIVE_BUFFER_BYTES = 65_536
-
 MAX_HEADER_BYTES = 65_536
 # Upper bound of every max_body_bytes; a larger body is never read.
 MAX_BODY_BYTES = 67_108_864
@@ -62,7 +61,9 @@
         super().prepare()
         # What a client sends ahead counts as memory of the process.
         self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            client_socket.IDLE_BUFFER_BYTES,
         )
         self._connections.close()
         self._connections = connection_intake.ConnectionIntake(self)
--- a/tests/callers/test_caller_server.py
+++ b/tests/callers/test_caller_server.py
@@ -90,7 +90,11 @@
         handle,
         4,
         system_clock.SystemClock(),
-        client_budget.ClientBudget(250_000 + client_budget.CONNECTION_BYTES),
+        client_budget.ClientBudget(
+            250_000
+            + client_budget.CONNECTION_BYTES
+            + client_budget.THREAD_BYTES
+        ),
     ) as server:
         yield address, bodies, entered, release, server
         release.set()
--- a/tests/clients/test_worker_pool.py
+++ b/tests/clients/test_worker_pool.py
@@ -18,13 +18,15 @@
         super().__init__(limit_bytes)
         self.asked = []
 
-    def free_threads(self, count, min_s=client_budget.STALL_S):
-        self.asked.append((count, min_s))
+    def free_threads(self, count):
+        self.asked.append(count)
 
 
 class Connection:
     """A connection that runs a function once it has a thread."""
 
+    remote_addr = remote_port = ''
+
     def __init__(self, run):
         self.run = run
         self.done = threading.Event()
@@ -120,11 +122,41 @@
     assert server.budget.asked == []
     waiting = serve(server, lambda: None)
     server.requests.relieve()
-    assert server.budget.asked == [(1, worker_pool.SLOT_STALL_S)]
+    assert server.budget.asked == [1]
     leave.set()
     assert waiting.done.wait(TIMEOUT_S)
 
 
+# Requests waited for slots of targets that threads kept which waited for a
+# place: neither went on before the deadline.
+@pytest.mark.parametrize('is_urgent', [True, False])
+def test_a_thread_gives_up_what_others_wait_for(served, is_urgent):
+    server = served(1)
+    slot = threading.Semaphore(0)
+    entered = threading.Event()
+    go_on = threading.Event()
+
+    def keep_slot():
+        try:
+            with server.requests.while_waiting(is_urgent):
+                go_on.wait(TIMEOUT_S)
+                if not is_urgent:
+                    raise ConnectionAbortedError
+        finally:
+            slot.release()
+
+    def wait_for_slot():
+        entered.set()
+        assert slot.acquire(timeout=TIMEOUT_S)
+
+    serve(server, keep_slot)
+    waiting = serve(server, wait_for_slot)
+    assert entered.wait(TIMEOUT_S)
+    go_on.set()
+    assert waiting.done.wait(TIMEOUT_S / 2)
+    assert serve(server, lambda: None).done.wait(TIMEOUT_S)
+
+
 def test_the_end_does_not_wait_for_threads_that_wait(served):
     server = served(1)
     leave = threading.Event()
