--- a/tests/test_attempt_table.py
+++ b/tests/test_attempt_table.py
@@ -9,10 +9,12 @@
 
 # chestnutshuntd kept whole bodies for 30 s, outside of any bound.
 def test_bodies_are_not_kept_for_duplicates():
-    table = attempt_table.AttemptTable(manual_clock.ManualClock())
+    clock = manual_clock.ManualClock()
+    table = attempt_table.AttemptTable(clock)
     digest = identity.content_digest(BODY)
     kept, is_new = table.join_or_start('i', digest)
     assert is_new
+    kept.finish(clock.monotonic())
     table.close(kept)
     found, is_new = table.join_or_start('i', digest)
     assert not is_new
