--- a/review/rig3.py
+++ b/review/rig3.py
@@ -33,6 +33,9 @@
 KEY = 'k3y4r3v13w'
 TENANT = 'hule930'
 PAGE_OBJECTS = 500
+PAGE_BYTES = 1_000_000
+# Smaller objects don't count towards the bytes of a page.
+LARGE_BYTES = 10_000
 
 SETTINGS = """
 name = "{name}"
@@ -135,6 +138,7 @@
 
     def __init__(self) -> None:
         self.kinds: dict[str, dict[str, dict]] = {}
+        self.sizes: dict[tuple[int, str], int] = {}
         self.revision = 10
         self.lock = threading.Lock()
         self.server = Server(('127.0.0.1', 0), StoreHandler)
@@ -177,9 +181,16 @@
     def page(self, objects: dict, after: str) -> tuple[int, Any]:
         """Return a page of a list."""
         names = sorted(name for name in objects if name > after)
+        items = []
+        size = 0
+        for name in names[:PAGE_OBJECTS]:
+            size += self.sizes.get((id(objects), name), 0)
+            if items and size > PAGE_BYTES:
+                break
+            items.append(objects[name])
         return 200, {
-            'items': [objects[name] for name in names[:PAGE_OBJECTS]],
-            'hasMore': len(names) > PAGE_OBJECTS,
+            'items': items,
+            'hasMore': len(names) > len(items),
             'currentRev': self.revision,
         }
 
@@ -188,6 +199,9 @@
         name = value['metadata']['name']
         if name in objects:
             return 409, objects[name]
+        size = len(json.dumps(value))
+        if size > LARGE_BYTES:
+            self.sizes[id(objects), name] = size
         self.revision += 1
         objects[name] = {
             'metadata': {
