--- a/review/replica3.py
+++ b/review/replica3.py
@@ -68,7 +68,7 @@
                 'service': self.args.service,
                 'address': self.args.public or self.args.address,
                 'zone': 'sierra-norte',
-                'version': 'v1',
+                'version': self.args.software,
                 'slots': self.args.slots,
                 'state': 'ready',
                 'coldLeftMs': 0,
@@ -239,6 +239,7 @@
     parser.add_argument('--record', required=True)
     parser.add_argument('--model', default='')
     parser.add_argument('--weights', type=int, default=1)
+    parser.add_argument('--software', default='v1')
     parser.add_argument('--slots', type=int, default=12)
     parser.add_argument('--work', type=float, default=0.1)
     parser.add_argument('--events', type=int, default=30)
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -66,9 +66,13 @@
 
 
 class Record:
-    """File with one line for each thing that was sent, answered or run."""
+    """File with one line for each thing that was sent, answered or run.
+
+    A script that gets SIGTERM ends its processes and exits with 2.
+    """
 
     def __init__(self, path: pathlib.Path) -> None:
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.file = path.open('w')
         self.lock = threading.Lock()
         self.started_at = time.time()
