Keep weights below a job's minimum out of its texts

Cause: an engine that had started again carried out an order from before its restart and loaded version 2 under running texts. The job's minimum was compared with the head of a response only; an event that named a lower version was added. In the log ("Item run") the four runs that brought version 2 have after=null and versions=[3,2], so it came within a response, not by a start or a resumption at an older engine.

Change: VersionRule decides which versions a text may have. ItemState asks it for heads, events and texts of earlier jobs, the runner once more before a result is listed. An event that does not fit ends the attempt; the text before it goes on elsewhere. The engine does not count as failed, and its version is recorded. Related paths with tests of their own: a text of two versions on a route that has come to require one, taken over or being scored, and a response that names no version.

Texts whose version rises are tested beside them.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -13,6 +13,7 @@
 from chestnutshunt.jobs import item_state
 from chestnutshunt.jobs import result
 from chestnutshunt.jobs import score_call
+from chestnutshunt.jobs import version_rule
 from chestnutshunt.replicas import replica
 from chestnutshunt.replicas import replica_view
 from chestnutshunt_daemon.fleet import fleet_state
@@ -195,6 +196,11 @@
             entry.moves += 1
             outcome = str(exc)
             return False
+        except version_rule.UnsuitableVersion as exc:
+            # The target is sound: it has just loaded other weights.
+            entry.not_before = self.state.clock.monotonic() + BUSY_RETRY_S
+            outcome = str(exc)
+            return False
         except (target_error.TargetError, ValueError) as exc:
             if run.ended.is_set():
                 outcome = 'stopped, its job was ended'
@@ -256,7 +262,15 @@
         target: replica.Replica,
         response: target_response.TargetResponse,
     ) -> bool:
-        """Check the head of a response; return True if its events count."""
+        """Check the head of a response; return True if its events count.
+
+        Raises
+        ------
+        UnsuitableVersion
+            The weights of the target are not those that the text may have.
+        ValueError
+            The response is not a signed stream of events.
+        """
         head = response.head
         view = self.state.replicas
         view.record_load(target, head.running, head.waiting)
@@ -280,17 +294,11 @@
             raise ValueError('The response has no signature.')
         if not response.has_events:
             raise ValueError('The response is no stream of events.')
-        if head.version is not None and run.job.model:
+        if head.version is not None:
             view.record_version(target, run.job.model, head.version)
-            if head.version < run.job.minimum_version:
-                entry.not_before = now + BUSY_RETRY_S
-                return False
-            if route.single_version and entry.versions not in (
-                [],
-                [head.version],
-            ):
-                entry.reset()
-                return False
+        entry.check_version(
+            head.version, version_rule.rule_for(run.job, route)
+        )
         return True
 
     def may_go_on(
@@ -340,7 +348,7 @@
             events = list(reader.feed(data))
             for item_event in events:
                 version = self.add_event(
-                    entry, route, target, item_event, version
+                    run, entry, route, target, item_event, version
                 )
             if events:
                 self.state.replicas.record_event_interval(
@@ -359,6 +367,7 @@
 
     def add_event(
         self,
+        run: job_run.JobRun,
         entry: item_state.ItemState,
         route: route.Route,
         target: replica.Replica,
@@ -367,6 +376,9 @@
     ) -> int | None:
         """Add an event to an item's text; raises `ValueError`.
 
+        The target may load other weights while it generates the text, also
+        older ones.
+
         Returns
         -------
         int or None
@@ -374,15 +386,22 @@
         """
         for line in item_event.other_lines:
             named = self.exchanger.codec.decode_event_version(line)
-            version = named or version
+            if named is not None and named != version:
+                version = named
+                self.state.replicas.record_version(
+                    target, run.job.model, named
+                )
         if entry.last_event is not None and (
             item_event.id <= entry.last_event
         ):
             raise ValueError(f'Event {item_event.id} was repeated.')
-        if route.single_version and entry.versions not in ([], [version]):
-            entry.reset()
-            raise ValueError('The weight version changed within the text.')
-        entry.add_event(item_event.id, item_event.data, version, target.origin)
+        entry.add_event(
+            item_event.id,
+            item_event.data,
+            version,
+            version_rule.rule_for(run.job, route),
+            target.origin,
+        )
         return version
 
     def check_speed(
@@ -529,7 +548,13 @@
     def complete(
         self, run: job_run.JobRun, entry: item_state.ItemState, score: str
     ) -> None:
-        """Pass a complete text with its score to the job."""
+        """Pass a complete text with its score to the job.
+
+        The rule for its versions may have changed with the route since the
+        text was generated.
+        """
+        if not self.has_suitable_versions(run, entry):
+            return
         run.finish(
             entry,
             result.Result(
@@ -544,6 +569,29 @@
         waited_s = self.state.time.now() - run.job.submitted_at
         self.state.metrics.item_seconds.observe(max(waited_s, 0.0))
 
+    def has_suitable_versions(
+        self, run: job_run.JobRun, entry: item_state.ItemState
+    ) -> bool:
+        """Return whether a text may be listed; discard it if not."""
+        current: deployment.Deployment = self.state.deployment
+        found = current.match_route(run.job.host, run.job.path)
+        if found is None or version_rule.rule_for(run.job, found).accepts(
+            entry.versions
+        ):
+            return True
+        LOG.warning(
+            'Text discarded because of its weight versions',
+            extra={
+                'request': entry.item.id,
+                'job': run.job.id,
+                'versions': list(entry.versions),
+                'minimum': run.job.minimum_version,
+                'single': found.single_version,
+            },
+        )
+        entry.reset()
+        return False
+
     def give_up(
         self, run: job_run.JobRun, entry: item_state.ItemState, reason: str
     ) -> None:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/job_runner.py
@@ -14,6 +14,7 @@
 from chestnutshunt.jobs import job
 from chestnutshunt.jobs import job_codec
 from chestnutshunt.jobs import job_page
+from chestnutshunt.jobs import version_rule
 from chestnutshunt.routing import rendezvous
 from chestnutshunt.store import object_store
 from chestnutshunt.weights import model_demand
@@ -186,13 +187,18 @@
 
     def carry_over_texts(self, run: job_run.JobRun) -> None:
         """Copy the texts that earlier jobs have for the same items."""
+        current = self.state.deployment
+        route = current and current.match_route(run.job.host, run.job.path)
+        if route is None:
+            return
+        rule = version_rule.rule_for(run.job, route)
         carried = 0
         for earlier in self.runs.values():
             if earlier.job.workspace != run.job.workspace:
                 continue
             for item_id in earlier.item_states.keys() & run.item_states.keys():
                 carried += run.item_states[item_id].resume_from(
-                    earlier.item_states[item_id], run.job.minimum_version
+                    earlier.item_states[item_id], rule
                 )
         if carried:
             LOG.info(
--- a/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
@@ -3,6 +3,7 @@
 import attrs
 
 from chestnutshunt.jobs import item
+from chestnutshunt.jobs import version_rule
 from chestnutshunt.streams import stream_origin
 
 __all__ = ['ItemState']
@@ -61,11 +62,39 @@
     moves: int = 0
     avoided_target: str = ''
 
+    def check_version(
+        self, version: int | None, rule: version_rule.VersionRule
+    ) -> None:
+        """Raise unless events of a weight version may follow the text.
+
+        The text is kept, so that it can go on at suitable weights, unless
+        there may be none: after a change that the rule forbids.
+
+        Parameters
+        ----------
+        version : int or None
+            Version that generates the next events, if known.
+        rule : VersionRule
+            Versions that the text may have.
+
+        Raises
+        ------
+        UnsuitableVersion
+            No event of that version may be added.
+        """
+        try:
+            rule.check(version, self.versions)
+        except version_rule.UnsuitableVersion as exc:
+            if exc.is_change:
+                self.reset()
+            raise
+
     def add_event(
         self,
         event_id: int,
         data: str,
         version: int | None,
+        rule: version_rule.VersionRule,
         origin: stream_origin.StreamOrigin | None = None,
     ) -> None:
         """Append an event.
@@ -78,24 +107,34 @@
             Its data.
         version : int or None
             Weight version that generated it, if known.
+        rule : VersionRule
+            Versions that the text may have.
         origin : StreamOrigin, optional
             Origin of the event.
+
+        Raises
+        ------
+        UnsuitableVersion
+            The event may not be part of the text.
         """
+        self.check_version(version, rule)
         self.texts.append(data)
         self.origin = origin
         self.last_event = event_id
         if version is not None and version not in self.versions:
             self.versions.append(version)
 
-    def resume_from(self, previous: 'ItemState', minimum_version: int) -> bool:
+    def resume_from(
+        self, previous: 'ItemState', rule: version_rule.VersionRule
+    ) -> bool:
         """Continue from the text of the same item in an earlier job.
 
         Parameters
         ----------
         previous : ItemState
             State of the item in the earlier job.
-        minimum_version : int
-            Oldest weight version that may have generated any of the text.
+        rule : VersionRule
+            Versions that the text may have.
 
         Returns
         -------
@@ -108,7 +147,7 @@
             or previous.item != self.item
         ):
             return False
-        if min(previous.versions, default=-1) < minimum_version:
+        if not rule.accepts(previous.versions):
             return False
         self.texts = list(previous.texts)
         self.versions = list(previous.versions)
--- a/tests/fake_target.py
+++ b/tests/fake_target.py
@@ -178,9 +178,11 @@
     drop(connection, fields)
 
 
-def send_event(connection, number, label='d'):
-    """Send one event as a chunk."""
+def send_event(connection, number, label='d', version=None):
+    """Send one event as a chunk; it names a new weight version, if any."""
     data = f'id: {number}\ndata: {label}{number}\n\n'.encode()
+    if version is not None:
+        data = f'x-weight-versions: {version}\n'.encode() + data
     connection.sendall(b'%x\r\n%s\r\n' % (len(data), data))
 
 
