Take the newest source for the weight version of a target

In the other direction, a report that lags by some tenths of a second could raise the version after the registration had lowered it; the duty then believed for good that nothing had to be ordered.

Change: a registration counts if its version has changed, or if it was read more than 5 s after the version was learned otherwise (three heartbeats, after which a silent target is removed, and the delay of a report). While the store is away it does not get newer, so the rest counts.

Both tests failed before (tests/replicas/test_replica_view.py) and pass.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
@@ -66,7 +66,7 @@
                 'load': state.replicas.load(target),
                 'slots': target.slots,
                 'sound': state.replicas.is_healthy(target),
-                'versions': state.replicas.state(target).versions,
+                'versions': state.replicas.with_versions(target).versions,
                 'software': target.software,
                 'rate_limit': state.rate_gate.limits.rate(target),
             }
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/weights_duty.py
@@ -158,8 +158,7 @@
         ):
             progress.retry_at = now + RETRY_S
             return
-        known = self.state.replicas.state(target).versions
-        if known.get(load.model, 0) >= load.version:
+        if self.state.replicas.version(target, load.model) >= load.version:
             return
         fence = self.holder.fence()
         if not fence:
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_state.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_state.py
@@ -23,6 +23,8 @@
         Monotonic time in seconds of that report.
     versions : dict of str to int
         Weight version by model, from registrations, responses and orders.
+    versions_at : dict of str to float
+        Monotonic time in seconds at which each of them was learned.
     full_until : float
         Monotonic time in seconds until which the target is considered full
         because it refused a request.
@@ -42,6 +44,7 @@
     reported_waiting: int = 0
     reported_at: float = -1e9
     versions: dict[str, int] = attrs.field(factory=dict)
+    versions_at: dict[str, float] = attrs.field(factory=dict)
     full_until: float = 0.0
     event_interval_s: float = 0.0
     event_at: float = -1e9
--- a/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
+++ b/packages/chestnutshunt/chestnutshunt/replicas/replica_view.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import logging
+import math
 import random
 import statistics
 import threading
@@ -32,6 +33,10 @@
 # A live target registers again within about 2 s after an outage.
 LAPSE_GRACE_S = 2.2
 
+# Longest time after which a registration that is read names the weights that
+# its target has: three heartbeats, after which a silent one is removed.
+REGISTRATION_LAG_S = 5.0
+
 # Time for which the load that a target reported is used.
 REPORTED_LOAD_TTL_S = 0.3
 
@@ -140,29 +145,21 @@
     ) -> None:
         """Update the known weight versions from a registration.
 
-        A registration lags behind the versions in responses and orders, so an
-        older version is accepted only if the same process had registered a
-        newer one. In that case an order from before a restart has made the
-        target load older weights.
+        A registration lags behind the versions in responses and orders, so
+        only one that has changed tells something new. If the same process had
+        registered a newer version, an order from before a restart has made
+        the target load older weights.
         """
-        versions = self.state(target).versions
-        is_same_process = (
-            previous is not None and previous.start_key == target.start_key
-        )
+        before = {}
+        if previous is not None and previous.start_key == target.start_key:
+            before = previous.versions
+        known = self.state(target).versions
         for model, version in target.versions.items():
-            if is_same_process and version < previous.versions.get(model, 0):
-                LOG.warning(
-                    'A target went back to older weights',
-                    extra={
-                        'target': target.id,
-                        'model': model,
-                        'version': version,
-                        'before': previous.versions[model],
-                    },
-                )
-                versions[model] = version
-            else:
-                versions[model] = max(version, versions.get(model, 0))
+            registered = before.get(model)
+            if registered is not None and version < registered:
+                self.record_version(target, model, version)
+            elif version != registered and version > known.get(model, 0):
+                self.record_version(target, model, version)
 
     def keep_lapsed(self, registered: dict[str, replica.Replica]) -> None:
         """Keep targets that are missing after an outage for a grace period.
@@ -427,9 +424,28 @@
         """Return whether a target has suitable weights of a model."""
         if not model:
             return True
-        version = self.state(target).versions.get(model, 0)
+        version = self.version(target, model)
         return version == exact if exact is not None else version >= minimum
 
+    def version(self, target: replica.Replica, model: str) -> int:
+        """Return the weight version that a target has; 0 if unknown.
+
+        What its registration says counts once it is surely newer than what
+        was learned otherwise.
+        """
+        with self.lock:
+            state = self.state(target)
+            registered = self.replicas.get(target.id, target)
+            read_at = self.clock.monotonic() - self.mirror.age_s
+            learned_at = state.versions_at.get(model, -math.inf)
+            if (
+                registered.start_key == target.start_key
+                and model in registered.versions
+                and read_at - learned_at > REGISTRATION_LAG_S
+            ):
+                return registered.versions[model]
+            return state.versions.get(model, 0)
+
     def is_healthy(self, target: replica.Replica) -> bool:
         """Return whether the circuit breaker lets a target have requests."""
         return self.state(target).breaker.allows_requests()
@@ -530,8 +546,23 @@
         self, target: replica.Replica, model: str, version: int
     ) -> None:
         """Record the weight version that a response or an order names."""
-        if model:
-            self.state(target).versions[model] = version
+        if not model:
+            return
+        before = self.version(target, model)
+        if version < before:
+            LOG.warning(
+                'A target went back to older weights',
+                extra={
+                    'target': target.id,
+                    'model': model,
+                    'version': version,
+                    'before': before,
+                },
+            )
+        with self.lock:
+            state = self.state(target)
+            state.versions[model] = version
+            state.versions_at[model] = self.clock.monotonic()
 
     def record_loading(self, target_id: str, left_s: float) -> None:
         """Record for how many seconds more a target loads weights."""
@@ -564,5 +595,6 @@
 
     def with_versions(self, target: replica.Replica) -> replica.Replica:
         """Return a copy of a target with its newest known versions."""
-        versions = {**target.versions, **self.state(target).versions}
+        models = target.versions.keys() | self.state(target).versions.keys()
+        versions = {model: self.version(target, model) for model in models}
         return attrs.evolve(target, versions=versions)
--- a/tests/replicas/test_replica_view.py
+++ b/tests/replicas/test_replica_view.py
@@ -140,6 +140,43 @@
     assert harness.view.with_versions(target).versions == {'m': 2}
 
 
+M3 = {**A, 'versions': {'m': 3}}
+M2 = {**A, 'versions': {'m': 2}}
+
+
+# Guards against items going again and again to a target that has loaded older
+# weights: each change of another registration made it count as newer.
+def test_a_registration_that_has_not_changed_does_not_hide_an_older_version():
+    harness = ViewHarness(x=M3, y=M3)
+    target = harness.view.replicas['x']
+    harness.view.record_version(target, 'm', 2)
+    for slots in (3, 4):
+        harness.clock.advance(1.0)
+        harness.register(x=M3, y={**M3, 'slots': slots})
+        assert not harness.view.has_version(target, 'm', 3)
+    harness.register(x=M2, y=M3)
+    assert harness.view.with_versions(target).versions == {'m': 2}
+    harness.register(x=M3, y=M3)
+    assert harness.view.has_version(target, 'm', 3)
+
+
+# Guards against a target that nobody orders to load weights again: its report
+# is some tenths of a second old, and hid that it had gone back.
+def test_a_registration_counts_once_it_is_surely_the_newest():
+    harness = ViewHarness(x=M3)
+    target = harness.view.replicas['x']
+    harness.register(x=M2)
+    harness.view.record_version(target, 'm', 3)
+    harness.clock.advance(4.9)
+    harness.register(x=M2)
+    assert harness.view.has_version(target, 'm', 3)
+    # While the store is away the registration does not get newer.
+    harness.clock.advance(5.0)
+    assert harness.view.has_version(target, 'm', 3)
+    harness.register(x=M2)
+    assert not harness.view.has_version(target, 'm', 3)
+
+
 M1 = {**A, 'versions': {'m': 1}}
 
 
