Record the origins of streams in the store while versions are mixed

Cause: origins of streams were in the memory of daemons only, at two hubs each. After the loss of all, an origin follows from the record of versions only while that names one. "Stream taken up" said so: recent [v1, v2], in_doubt false, targets_age_s 0.4, source unknown.

Change: the hub through which an origin passes writes it to the store, in pages of hashes, at most one each 0.5 s + 10 ms a hub, and only for services that had several versions in the last 60 s. A hub that is asked for a stream nobody knows reads the pages, at most each 2 s. A page says only what never changes, so a late one does no harm; pages that differ leave a stream in doubt, and one in doubt is refused as before. Old pages are written over by their writer, and deleted by the holder of the duties.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/cleanup_duty.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/cleanup_duty.py
@@ -1,4 +1,4 @@
-"""Deletes expired jobs, usage windows and registrations from the store."""
+"""Deletes what has expired from the store: jobs, records, registrations."""
 
 from collections.abc import Iterable
 import logging
@@ -8,6 +8,7 @@
 from chestnutshunt.jobs import job_codec
 from chestnutshunt.store import object_store
 from chestnutshunt.store import stored_object
+from chestnutshunt.streams import origin_page
 from chestnutshunt_daemon.fleet import duty_holder
 from chestnutshunt_daemon.fleet import fleet_duty
 from chestnutshunt_daemon.fleet import fleet_state
@@ -40,6 +41,13 @@
 # delay callers' writes.
 MAX_JOBS_PER_PASS_COUNT = 5
 
+# Time between two looks at the pages of origins once no old one is left; they
+# may have some megabytes.
+PAGES_PERIOD_S = 600.0
+
+# Pages of origins that are deleted in one pass.
+MAX_PAGES_PER_PASS_COUNT = 100
+
 
 class CleanupDuty(fleet_duty.FleetDuty):
     """Deletes expired objects while this daemon holds the duties.
@@ -63,15 +71,17 @@
         super().__init__(state, holder, PERIOD_S)
         self.store = store
         self.not_live_since: dict[str, float] = {}
+        self.pages_due_at = 0.0
 
     def run_once(self) -> None:
-        """Delete expired jobs, usage windows and registrations."""
+        """Delete expired jobs, usage windows, origins and registrations."""
         jobs = self.state.mirrors[job_codec.JOB_KIND].values()
         expired = [stored for stored in jobs if self.is_expired(stored)]
         for stored in expired[:MAX_JOBS_PER_PASS_COUNT]:
             self.delete_job(stored)
         self.report_long_open(jobs)
         self.delete_windows()
+        self.delete_pages()
         self.delete_daemons()
 
     def is_expired(self, stored: stored_object.StoredObject) -> bool:
@@ -163,6 +173,27 @@
                     if int(stored.name) < oldest:
                         self.delete(stored)
 
+    def delete_pages(self) -> None:
+        """Delete pages of origins that no stream needs any more."""
+        now = self.state.clock.monotonic()
+        if now < self.pages_due_at:
+            return
+        match self.store.list_kind(fleet_state.ORIGIN_KIND):
+            case result.Success(listing):
+                old = list(filter(self.is_old_page, listing.objects))
+                for stored in old[:MAX_PAGES_PER_PASS_COUNT]:
+                    self.delete(stored)
+                if len(old) <= MAX_PAGES_PER_PASS_COUNT:
+                    self.pages_due_at = now + PAGES_PERIOD_S
+
+    def is_old_page(self, stored: stored_object.StoredObject) -> bool:
+        """Return whether a page of origins is too old, or malformed."""
+        written_at = stored.value.get('written_at')
+        if not isinstance(written_at, int | float):
+            return True
+        kept_s = origin_page.PAGE_TTL_S + CLOCK_SKEW_MARGIN_S
+        return self.state.time.now() - written_at > kept_s
+
     def delete_daemons(self) -> None:
         """Delete the registrations of daemons that have expired."""
         now = self.state.clock.monotonic()
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -37,6 +37,8 @@
 from chestnutshunt_daemon import peer_clients
 from chestnutshunt_daemon.peers import fleet_mesh
 from chestnutshunt_daemon.peers import fleet_service
+from chestnutshunt_daemon.peers import origin_reader
+from chestnutshunt_daemon.peers import origin_recorder
 from chestnutshunt_daemon.peers import origin_relay
 from chestnutshunt_daemon.peers import permit_broker
 from chestnutshunt_daemon.peers import permit_client
@@ -179,6 +181,11 @@
         watch.start()
         stack.callback(watch.stop)
         relay = origin_relay.OriginRelay(state, clients)
+        recorder = origin_recorder.OriginRecorder(state, store)
+        relay.record = recorder.add
+        reader = origin_reader.OriginReader(state, store)
+        relay.find_recorded = reader.find
+        state.origins.find_recorded = reader.find
         broker = permit_broker.PermitBroker(state, clients)
         service = fleet_service.FleetService(
             state, adapter.store, runner, broker, relay
@@ -191,6 +198,7 @@
             'leaf-links': mesh.leaf_links.run,
             'permits': permit_client.PermitClient(state, clients, broker).run,
             'origins': relay.run,
+            'recorder': recorder.run,
             'duties': holder.run,
             'dispatch': runner.dispatch,
             'jobs': runner.review,
@@ -209,10 +217,9 @@
         for number in range(fleet_mesh.PULL_THREAD_COUNT):
             loops[f'pulls-{number}'] = mesh.run_pulls
         for kind, period_s in read_periods_s(state).items():
-            reader = mirror_reader.MirrorReader(
+            loops[f'read-{kind}'] = mirror_reader.MirrorReader(
                 state, adapter.store, kind, period_s
-            )
-            loops[f'read-{kind}'] = reader.run
+            ).run
         for name, run in loops.items():
             stack.enter_context(
                 supervised_thread.supervised_thread(
@@ -231,7 +238,9 @@
         budget = make_budget(state, runner)
         ready = ready_app.ReadyApplication(
             state,
-            lambda: fleet_dump.dump(state, holder, runner, relay, budget),
+            lambda: fleet_dump.dump(
+                state, holder, runner, relay, recorder, budget
+            ),
         )
         addresses = {config.ready_address, config.metrics_address} - {''}
         for address in sorted(addresses):
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_dump.py
@@ -7,6 +7,7 @@
 from chestnutshunt_daemon.fleet import fleet_state
 from chestnutshunt_daemon.jobs import job_run
 from chestnutshunt_daemon.jobs import job_runner
+from chestnutshunt_daemon.peers import origin_recorder
 from chestnutshunt_daemon.peers import origin_relay
 
 __all__ = ['dump']
@@ -17,6 +18,7 @@
     holder: duty_holder.DutyHolder,
     runner: job_runner.JobRunner,
     relay: origin_relay.OriginRelay,
+    recorder: origin_recorder.OriginRecorder,
     budget: client_budget.ClientBudget,
 ) -> dict[str, Any]:
     """Return the daemon's state as JSON values; ages are in seconds."""
@@ -79,6 +81,7 @@
         'streams': {
             'known': len(state.origins.table),
             'unsent': len(relay.unsent),
+            'unwritten': len(recorder.unwritten),
         },
         'clients': budget.dump(),
         'jobs': [dump_run(run) for run in list(runner.runs.values())],
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_state.py
@@ -36,7 +36,7 @@
 from chestnutshunt_daemon.peers import peer_info
 from chestnutshunt_daemon.targets import stream_origins
 
-__all__ = ['DAEMON_KIND', 'SOFTWARE_KIND', 'FleetState']
+__all__ = ['DAEMON_KIND', 'ORIGIN_KIND', 'SOFTWARE_KIND', 'FleetState']
 
 LOG = logging.getLogger(__name__)
 
@@ -46,6 +46,9 @@
 # Kind of the records of the software versions that targets run, by service.
 SOFTWARE_KIND = 'software'
 
+# Kind of the pages of origins of streams, which are read when needed only.
+ORIGIN_KIND = 'origin'
+
 # Time between heartbeats to one peer, without the addition for each peer.
 HEARTBEAT_S = 0.4
 
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/fleet_service.py
@@ -196,13 +196,20 @@
     def FindOrigin(
         self, request: fleet_pb2.OriginQuery, context: grpc.ServicerContext
     ) -> fleet_pb2.OriginAnswer:
-        """Return the origin of a stream if it is known."""
+        """Return the origin of a stream if it is known.
+
+        A leaf's question is also answered from what hubs have recorded.
+        """
+        in_doubt = False
+        origin = None
         try:
             origin = self.relay.find(request.request, request.relayed)
         except errors.NotReady:
-            return fleet_pb2.OriginAnswer(found=False, in_doubt=True)
+            in_doubt = True
+        if origin is None and not request.relayed:
+            origin = self.relay.find_recorded(request.request)
         if origin is None:
-            return fleet_pb2.OriginAnswer(found=False)
+            return fleet_pb2.OriginAnswer(found=False, in_doubt=in_doubt)
         return fleet_pb2.OriginAnswer(
             found=True,
             origin=fleet_pb2.StreamOrigin(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_relay.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_relay.py
@@ -1,9 +1,11 @@
 """Passes the origins of streams on to peers, and asks them for origins.
 
 A caller takes a stream up at any daemon, also after the loss of the one that
-began it. Each origin is kept by two hubs, by rendezvous hash of the request.
+began it. Each origin is kept by two hubs, by rendezvous hash of the request,
+and recorded by the hub through which it passes.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import logging
 import threading
@@ -50,6 +52,13 @@
         Shared state of this daemon.
     clients : PeerClients
         Channels to peers.
+
+    Attributes
+    ----------
+    record : callable
+        Called with the origins that pass through this daemon.
+    find_recorded : callable
+        Returns the origin of a stream that was recorded.
     """
 
     def __init__(
@@ -59,6 +68,10 @@
     ) -> None:
         self.state = state
         self.clients = clients
+        self.record: Callable[[Origins], None] = lambda origins: None
+        self.find_recorded: Callable[
+            [str], stream_origin.StreamOrigin | None
+        ] = lambda request_id: None
         self.unsent: dict[str, stream_origin.StreamOrigin] = {}
         self.lock = threading.Lock()
         self.added = threading.Event()
@@ -67,7 +80,8 @@
         state.origins.find_elsewhere = self.find
 
     def add(self, origins: Origins) -> None:
-        """Queue origins for delivery."""
+        """Queue origins for delivery, and record them."""
+        self.record(origins)
         with self.lock:
             self.unsent.update(origins)
             while len(self.unsent) > MAX_UNSENT_COUNT:
@@ -135,6 +149,7 @@
         self, request_id: str, origin: stream_origin.StreamOrigin
     ) -> None:
         """Send one origin now; it is queued if a hub does not take it."""
+        self.record({request_id: origin})
         for address in self.addresses(request_id, HOME_COUNT):
             if not self.send(address, {request_id: origin}):
                 self.add({request_id: origin})
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/targets/stream_origins.py
@@ -40,6 +40,8 @@
     find_elsewhere : callable
         Returns an origin that peers know; raises `NotReady` if too few of
         them could be asked.
+    find_recorded : callable
+        Returns an origin that was recorded in the store.
     has_record : callable
         Returns whether the versions of some services that were in use before
         this daemon started are known.
@@ -60,6 +62,7 @@
         )
         self.publish_at_once = self.publish
         self.find_elsewhere: FindOrigin = lambda request_id: None
+        self.find_recorded: FindOrigin = lambda request_id: None
         self.has_record: Callable[[list[str]], bool] = lambda services: False
         view.mirror.listeners.append(self.observe)
 
@@ -115,6 +118,12 @@
         if origin is None and not in_doubt:
             source = 'only version'
             origin = self.only_origin(services)
+        if origin is None and position.begun_by:
+            source = 'store'
+            origin = self.find_recorded(position.begun_by)
+            if origin is not None:
+                # The hubs that kept it have lost it.
+                self.publish(position.begun_by, origin)
         if origin is not None and position.begun_by:
             self.table.record(position.begun_by, origin)
         LOG.info(
--- a/packages/chestnutshunt/chestnutshunt/streams/origin_table.py
+++ b/packages/chestnutshunt/chestnutshunt/streams/origin_table.py
@@ -1,5 +1,8 @@
 """Origins of the streams that callers may take up again."""
 
+from collections.abc import Container
+from collections.abc import Mapping
+import itertools
 import threading
 
 from chestnutshunt import clock
@@ -57,5 +60,39 @@
             return None
         return origin
 
+    def oldest(
+        self, services: Container[str], count: int
+    ) -> dict[str, tuple[float, stream_origin.StreamOrigin]]:
+        """Return the entries of some services that were used least lately.
+
+        Parameters
+        ----------
+        services : container of str
+            The services.
+        count : int
+            Most entries to return.
+
+        Returns
+        -------
+        dict of str to tuple of float and StreamOrigin
+            Time of the last use and origin, by request.
+        """
+        with self.lock:
+            matching = (
+                (request_id, entry)
+                for request_id, entry in self.entries.items()
+                if entry[1].service in services
+            )
+            return dict(itertools.islice(matching, count))
+
+    def discard(
+        self, entries: Mapping[str, tuple[float, stream_origin.StreamOrigin]]
+    ) -> None:
+        """Remove entries that have not been used since they were read."""
+        with self.lock:
+            for request_id, entry in entries.items():
+                if self.entries.get(request_id) == entry:
+                    del self.entries[request_id]
+
     def __len__(self) -> int:
         return len(self.entries)
--- a/packages/chestnutshunt/chestnutshunt/streams/software_history.py
+++ b/packages/chestnutshunt/chestnutshunt/streams/software_history.py
@@ -83,11 +83,14 @@
     ) -> set[stream_origin.StreamOrigin]:
         """Return the origins that a stream of these services may have."""
         wanted = set(services)
+        return {origin for origin in self.known() if origin.service in wanted}
+
+    def known(self) -> set[stream_origin.StreamOrigin]:
+        """Return all origins that a stream may have."""
         now = self.clock.monotonic()
         with self.lock:
             self.drop_old(now)
-            known = self.present | self.left_at.keys()
-        return {origin for origin in known if origin.service in wanted}
+            return set(self.present | self.left_at.keys())
 
     def is_settled(self, origin: stream_origin.StreamOrigin) -> bool:
         """Return whether every daemon knows an origin by now."""
--- a/tests/faults/test_software_versions.py
+++ b/tests/faults/test_software_versions.py
@@ -145,6 +145,34 @@
     assert joined(take_up_all(streams, daemons)) == []
 
 
+def restart_all(daemons):
+    for daemon in daemons:
+        daemon.kill()
+    for daemon in daemons:
+        daemon.restart()
+    for daemon in daemons:
+        cluster.wait_until(daemon.ready, f'{daemon.name} is ready')
+
+
+# Guards against LOST: after all daemons were killed at once, each stream was
+# refused that callers took up, since nobody knew which software had begun it.
+@pytest.mark.parametrize('losses', [1, 2])
+def test_streams_go_on_after_all_daemons_were_killed(fleet, targets, losses):
+    daemons = fleet.start(3)
+    streams = [Stream(daemons[n % 3], f's{n}') for n in range(12)]
+    cluster.wait_until(
+        lambda: not any(x.dump()['streams'].get('unwritten') for x in daemons),
+        'the origins of the streams are in the store',
+    )
+    for _ in range(losses):
+        restart_all(daemons)
+    fresh = [Stream(daemons[n % 3], f'new{n}') for n in range(6)]
+    pairs = take_up_all(streams, daemons[1:] + daemons[:1], TRY_COUNT)
+    assert joined(pairs) == []
+    assert [x for x in pairs if x[1] == 503] == []
+    assert joined(take_up_all(fresh, daemons, TRY_COUNT)) == []
+
+
 # Guards against ORDER: the old software had left while all daemons were down,
 # so that they found only one version.
 def test_streams_of_software_that_left_are_not_joined(fleet, targets):
--- a/tests/fleet/test_cleanup_duty.py
+++ b/tests/fleet/test_cleanup_duty.py
@@ -9,6 +9,7 @@
 from chestnutshunt.jobs import result_log
 from chestnutshunt import manual_clock
 from chestnutshunt.store import memory_store
+from chestnutshunt.streams import origin_page
 from chestnutshunt_daemon.fleet import cleanup_duty
 from chestnutshunt_daemon.fleet import fleet_settings
 from chestnutshunt_daemon.fleet import fleet_state
@@ -124,6 +125,28 @@
     assert ('usage-window' in harness.run_pass()) is kept
 
 
+def test_old_pages_of_origins_are_deleted_a_part_at_a_time():
+    harness = CleanupHarness()
+    kind = fleet_state.ORIGIN_KIND
+    count = cleanup_duty.MAX_PAGES_PER_PASS_COUNT + 1
+    for number in range(count):
+        value = origin_page.OriginPage(harness.clock.wall()).encode()
+        harness.store.put(kind, f'p{number}', value, 0).unwrap()
+    harness.store.put(kind, 'malformed', {}, 0).unwrap()
+
+    def left():
+        return len(harness.store.list_kind(kind).unwrap().objects)
+
+    harness.run_pass()
+    assert left() == count
+    # Streams of the last minute and more may still be taken up.
+    harness.clock.advance(cleanup_duty.PAGES_PERIOD_S)
+    harness.run_pass()
+    assert left() == 1
+    harness.run_pass()
+    assert left() == 0
+
+
 def test_registration_of_a_lost_daemon_is_deleted():
     harness = CleanupHarness()
     harness.store.put(fleet_state.DAEMON_KIND, 'd1', {}, 0).unwrap()
--- a/tests/load/test_stream_origins.py
+++ b/tests/load/test_stream_origins.py
@@ -9,8 +9,11 @@
 import pytest
 
 from chestnutshunt.replicas import replica
+from chestnutshunt.store import memory_store
 from chestnutshunt.streams import stream_origin
 from chestnutshunt_daemon.peers import fleet_service
+from chestnutshunt_daemon.peers import origin_reader
+from chestnutshunt_daemon.peers import origin_recorder
 from chestnutshunt_daemon.peers import origin_relay
 from chestnutshunt_daemon.targets import stream_position
 from tests import fleet_parts
@@ -47,15 +50,23 @@
 
 
 class StreamFleet(test_hubs.Fleet):
-    def __init__(self, count):
-        super().__init__(count)
+    def __init__(self, count, store=None, clock=None):
+        super().__init__(count, clock)
         self.calls = []
+        self.store = store or memory_store.MemoryStore()
         self.relays = {}
+        self.recorders = {}
         self.services = {}
         for name, state in self.states.items():
-            self.relays[name] = origin_relay.OriginRelay(state, self)
+            relay = origin_relay.OriginRelay(state, self)
+            recorder = origin_recorder.OriginRecorder(state, self.store)
+            reader = origin_reader.OriginReader(state, self.store)
+            relay.record = recorder.add
+            relay.find_recorded = state.origins.find_recorded = reader.find
+            self.relays[name] = relay
+            self.recorders[name] = recorder
             self.services[name] = fleet_service.FleetService(
-                state, None, None, None, self.relays[name]
+                state, None, None, None, relay
             )
 
     def stub(self, address):
@@ -103,6 +114,97 @@
     assert len(known) > 0.5 * len(found)
 
 
+def write(fleet):
+    """Have each hub write one page, if it has any origins."""
+    for name, recorder in fleet.recorders.items():
+        if name not in fleet.down:
+            recorder.write_once()
+
+
+def take_up(fleet, begun):
+    """Return how many streams go on, each at some live daemon."""
+    names = [name for name in fleet.states if name not in fleet.down]
+    found = {}
+    for number, request_id in enumerate(begun):
+        state = fleet.states[names[-number % len(names)]]
+        found[request_id] = find_origin(state, request_id)
+    assert all(origin in (None, begun[name]) for name, origin in found.items())
+    return sum(origin is not None for origin in found.values())
+
+
+def begin_and_write(fleet):
+    for state in fleet.states.values():
+        register(state, 'v1', 'v2')
+    begun = fleet.begin_streams()
+    fleet.deliver()
+    fleet.deliver()
+    calls = fleet.store.calls
+    write(fleet)
+    assert fleet.store.calls - calls <= len(fleet.hubs)
+    return begun
+
+
+def restart(fleet):
+    """Return the same daemons after the loss of all of them."""
+    again = StreamFleet(len(fleet.states), fleet.store, fleet.clock)
+    for state in again.states.values():
+        register(state, 'v1', 'v2')
+    return again
+
+
+# Guards against LOST: all daemons are lost during a release, twice in a row,
+# the second time before they have heard of each other.
+@pytest.mark.parametrize('count', [8, 165])
+def test_streams_go_on_after_two_losses_of_all_daemons(count):
+    fleet = StreamFleet(count)
+    fleet.run(2.0)
+    begun = begin_and_write(fleet)
+    for state in fleet.states.values():
+        # Too late to be written before the loss.
+        state.origins.begin(f'{state.config.name}-late', ORIGINS[0])
+        begun[f'{state.config.name}-late'] = ORIGINS[0]
+    fleet = restart(restart(fleet))
+    fleet.run(4.0)
+    assert take_up(fleet, begun) == count * STREAM_COUNT
+    reads = fleet.store.calls
+    assert take_up(fleet, begun) == count * STREAM_COUNT
+    assert fleet.store.calls - reads <= len(fleet.hubs)
+
+
+# The same fault in small: both hubs of a stream are lost with its daemon.
+@pytest.mark.parametrize('count', [8, 165])
+def test_streams_go_on_that_no_live_daemon_knows(count):
+    fleet = StreamFleet(count)
+    fleet.run(2.0)
+    begun = begin_and_write(fleet)
+    fleet.down.update(
+        name
+        for name, state in fleet.states.items()
+        if state.config.datacentre in ('m-a', 'm-b', 'm-c')
+    )
+    fleet.run(4.0)
+    lost = {
+        name: origin
+        for name, origin in begun.items()
+        if name.partition('-')[0] in fleet.down
+    }
+    assert take_up(fleet, lost) > 0.9 * len(lost)
+
+
+# Without the store nothing is joined, and streams go on once it is back.
+def test_streams_wait_for_the_store_after_a_loss_of_all_daemons():
+    fleet = StreamFleet(8)
+    fleet.run(2.0)
+    begun = begin_and_write(fleet)
+    fleet = restart(fleet)
+    fleet.store.down = True
+    fleet.run(4.0)
+    assert take_up(fleet, begun) == 0
+    fleet.store.down = False
+    fleet.run(1.0)
+    assert take_up(fleet, begun) == len(begun)
+
+
 def test_a_hub_keeps_and_is_asked_for_its_part_only():
     fleet = StreamFleet(165)
     fleet.run(2.0)
--- a/tests/peers/test_hubs.py
+++ b/tests/peers/test_hubs.py
@@ -23,8 +23,8 @@
 class Fleet:
     """Daemons that exchange their heartbeats in simulated time."""
 
-    def __init__(self, count):
-        self.clock = manual_clock.ManualClock()
+    def __init__(self, count, clock=None):
+        self.clock = clock or manual_clock.ManualClock()
         self.states = {}
         self.turns = {}
         self.down = set()
