Eject targets that name no weight version

Such a response is malformed, like one without a signature. Since results without versions are no longer listed, an item would be sent there again every 0.05 s; now the attempt counts as failed, and the circuit breaker ejects the target (tests/jobs/test_item_versions.py).

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -269,7 +269,8 @@
         UnsuitableVersion
             The weights of the target are not those that the text may have.
         ValueError
-            The response is not a signed stream of events.
+            The response is not a signed stream of events that names its
+            version, if it must.
         """
         head = response.head
         view = self.state.replicas
--- a/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/item_state.py
@@ -79,8 +79,8 @@
 
         Raises
         ------
-        UnsuitableVersion
-            No event of that version may be added.
+        UnsuitableVersion, ValueError
+            No event of that version may be added; see `VersionRule.check`.
         """
         try:
             rule.check(version, self.versions)
@@ -114,8 +114,8 @@
 
         Raises
         ------
-        UnsuitableVersion
-            The event may not be part of the text.
+        UnsuitableVersion, ValueError
+            The event may not be part of the text; see `VersionRule.check`.
         """
         self.check_version(version, rule)
         self.texts.append(data)
--- a/packages/chestnutshunt/chestnutshunt/jobs/version_rule.py
+++ b/packages/chestnutshunt/chestnutshunt/jobs/version_rule.py
@@ -58,10 +58,12 @@
         ------
         UnsuitableVersion
             The next events may not be added to the text.
+        ValueError
+            The version has to be known and is not.
         """
         if version is None:
             if self.named:
-                raise UnsuitableVersion('The weight version is not known.')
+                raise ValueError('No weight version is named.')
             return
         if version < self.minimum:
             raise UnsuitableVersion(
--- a/tests/jobs/test_item_versions.py
+++ b/tests/jobs/test_item_versions.py
@@ -104,6 +104,16 @@
     assert len(target.heads) == 2
 
 
+# Such a target is at fault: it must not be asked again and again.
+def test_a_target_that_names_no_version_is_ejected(stack):
+    harness = Harness(stack)
+    harness.add('t1', fake_target.events(1))
+    run = harness.run(make_job())
+    breaker = harness.state.replicas.state(harness.targets[0]).breaker
+    wait_until(lambda: not breaker.allows_requests())
+    assert not run.is_done
+
+
 # Guards against VERSION: the route came to require a single version while a
 # text of two was being scored.
 def test_a_text_is_checked_by_the_route_that_is_in_force_at_its_end(stack):
@@ -159,8 +169,9 @@
     with pytest.raises(version_rule.UnsuitableVersion) as caught:
         rule.check(6, [5])
     assert caught.value.is_change
-    for version in (4, None):
-        with pytest.raises(version_rule.UnsuitableVersion) as caught:
-            rule.check(version, [5])
-        assert not caught.value.is_change
+    with pytest.raises(version_rule.UnsuitableVersion) as caught:
+        rule.check(4, [5])
+    assert not caught.value.is_change
+    with pytest.raises(ValueError, match='No weight version'):
+        rule.check(None, [5])
     version_rule.VersionRule().check(None, [])
