Answer leaves without a wait for a read of the store

Each question would have kept one of the threads that also serve heartbeats for as long as the read of the pages lasts, so that the hub could count as lost.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/fleet/fleet_daemon.py
@@ -184,7 +184,7 @@
         recorder = origin_recorder.OriginRecorder(state, store)
         relay.record = recorder.add
         reader = origin_reader.OriginReader(state, store)
-        relay.find_recorded = reader.find
+        relay.find_recorded = reader.find_for_leaf
         state.origins.find_recorded = reader.find
         broker = permit_broker.PermitBroker(state, clients)
         service = fleet_service.FleetService(
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_reader.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_reader.py
@@ -25,7 +25,7 @@
 # 250 KB/s.
 PERIOD_PER_STREAM_S = 4.4e-5
 
-# Longest wait for a read that another request has begun.
+# Longest wait of a caller's request for a read that another one has begun.
 MAX_WAIT_S = 1.0
 
 
@@ -49,15 +49,34 @@
         self.next_read_at = 0.0
         self.lock = threading.Lock()
 
-    def find(self, request_id: str) -> stream_origin.StreamOrigin | None:
+    def find_for_leaf(
+        self, request_id: str
+    ) -> stream_origin.StreamOrigin | None:
+        """Return what `find` does, without a wait for another request.
+
+        Many leaves may ask at once, and the threads that serve them serve
+        heartbeats as well.
+        """
+        return self.find(request_id, 0.0)
+
+    def find(
+        self, request_id: str, max_wait_s: float = MAX_WAIT_S
+    ) -> stream_origin.StreamOrigin | None:
         """Return the origin of a stream, ``None`` if no page names it.
 
         Only a hub reads pages; it does so for its leaves, too.
+
+        Parameters
+        ----------
+        request_id : str
+            Request that began the stream.
+        max_wait_s : float, optional
+            Longest wait in seconds for a read that another request has begun.
         """
         found = self.index.find(request_id)
         if found is not None or not self.state.is_hub:
             return found
-        if not self.lock.acquire(timeout=MAX_WAIT_S):
+        if not self.lock.acquire(timeout=max_wait_s):
             return None
         try:
             if self.state.clock.monotonic() >= self.next_read_at:
--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_relay.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/peers/origin_relay.py
@@ -58,7 +58,7 @@
     record : callable
         Called with the origins that pass through this daemon.
     find_recorded : callable
-        Returns the origin of a stream that was recorded.
+        Returns the origin of a stream that was recorded; for leaves.
     """
 
     def __init__(
--- a/tests/load/test_stream_origins.py
+++ b/tests/load/test_stream_origins.py
@@ -62,7 +62,8 @@
             recorder = origin_recorder.OriginRecorder(state, self.store)
             reader = origin_reader.OriginReader(state, self.store)
             relay.record = recorder.add
-            relay.find_recorded = state.origins.find_recorded = reader.find
+            relay.find_recorded = reader.find_for_leaf
+            state.origins.find_recorded = reader.find
             self.relays[name] = relay
             self.recorders[name] = recorder
             self.services[name] = fleet_service.FleetService(
--- a/tests/peers/test_origin_records.py
+++ b/tests/peers/test_origin_records.py
@@ -156,6 +156,15 @@
     assert hub.found('a', 'b', 'unknown') == [V1, V2, None]
 
 
+# Guards against a hub whose threads all wait for one read of the store.
+def test_the_questions_of_leaves_do_not_wait_for_a_read(store):
+    hub = Hub(store)
+    hub.write(a=V1)
+    with hub.reader.lock:
+        assert hub.reader.find_for_leaf('a') is None
+    assert hub.reader.find_for_leaf('a') == V1
+
+
 def test_a_malformed_page_hides_no_others(store, caplog):
     store.put(KIND, 'odd', {'origins': 'x'}, 0).unwrap()
     hub = Hub(store)
