Complete texts of which only the end was missing

A text that has all its events but not the end of its stream is asked for once more after its last event; that response has no event and names no version.

Change: a version must be known where an event is added, not where a response begins.

--- a/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
+++ b/packages/chestnutshunt-daemon/chestnutshunt_daemon/jobs/item_runner.py
@@ -269,8 +269,7 @@
         UnsuitableVersion
             The weights of the target are not those that the text may have.
         ValueError
-            The response is not a signed stream of events that names its
-            version, if it must.
+            The response is not a signed stream of events.
         """
         head = response.head
         view = self.state.replicas
@@ -295,11 +294,12 @@
             raise ValueError('The response has no signature.')
         if not response.has_events:
             raise ValueError('The response is no stream of events.')
+        # None is named where no event is left to generate.
         if head.version is not None:
             view.record_version(target, run.job.model, head.version)
-        entry.check_version(
-            head.version, version_rule.rule_for(run.job, route)
-        )
+            entry.check_version(
+                head.version, version_rule.rule_for(run.job, route)
+            )
         return True
 
     def may_go_on(
