--- a/tests/faults/test_software_versions.py
+++ b/tests/faults/test_software_versions.py
@@ -131,27 +131,22 @@
     assert len([x for x in pairs if x[1] == 503]) <= len(pairs) / 2
 
 
-# Guards against ORDER: after all daemons were killed at once, streams went on
-# at whatever software was there.
-def test_streams_are_not_joined_after_all_daemons_were_killed(fleet, targets):
-    daemons = fleet.start(3)
-    streams = [Stream(daemons[n % 3], f's{n}') for n in range(12)]
+def restart_all(daemons):
     for daemon in daemons:
         daemon.kill()
     for daemon in daemons:
         daemon.restart()
     for daemon in daemons:
         cluster.wait_until(daemon.ready, f'{daemon.name} is ready')
-    assert joined(take_up_all(streams, daemons)) == []
 
 
-def restart_all(daemons):
-    for daemon in daemons:
-        daemon.kill()
-    for daemon in daemons:
-        daemon.restart()
-    for daemon in daemons:
-        cluster.wait_until(daemon.ready, f'{daemon.name} is ready')
+# Guards against ORDER: after all daemons were killed at once, streams went on
+# at whatever software was there.
+def test_streams_are_not_joined_after_all_daemons_were_killed(fleet, targets):
+    daemons = fleet.start(3)
+    streams = [Stream(daemons[n % 3], f's{n}') for n in range(12)]
+    restart_all(daemons)
+    assert joined(take_up_all(streams, daemons)) == []
 
 
 # Guards against LOST: after all daemons were killed at once, each stream was
@@ -206,11 +201,6 @@
 
     cluster.wait_until(on_record, 'the versions in service are on record')
     streams = [Stream(daemons[n % 3], f's{n}') for n in range(6)]
-    for daemon in daemons:
-        daemon.kill()
-    for daemon in daemons:
-        daemon.restart()
-    for daemon in daemons:
-        cluster.wait_until(daemon.ready, f'{daemon.name} is ready')
+    restart_all(daemons)
     pairs = take_up_all(streams, daemons, TRY_COUNT)
     assert pairs == [('a', 'a')] * 6
